--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -17,13 +17,13 @@
 import {
   createConfigurationExchange,
   type ConfigurationExchange,
-} from '@masticbend/platform/configuration-exchange';
+} from '@masticbend/state/configuration-exchange';
 import {
   createConfigurationReplica,
   type ConfigurationReplica,
-} from '@masticbend/platform/configuration-replica';
-import { createIdempotencyRecords } from '@masticbend/platform/idempotency';
-import { createTableClient, type TableClient } from '@masticbend/platform/table';
+} from '@masticbend/state/configuration-replica';
+import { createIdempotencyRecords } from '@masticbend/state/idempotency';
+import { createTableClient, type TableClient } from '@masticbend/state/table';
 import { createAgentScheduler } from '@masticbend/scheduling/agent-scheduler';
 import { CONCURRENCY_LIMIT } from '@masticbend/settings/configuration';
 import { parseAddress, type AgentSettings } from '@masticbend/settings/process-settings';
@@ -63,7 +63,7 @@
 
 /** Builds an agent; `start` and `stop` of the kernel run it. */
 export async function createAgent(settings: AgentSettings): Promise<Kernel<AgentServices>> {
-  const log = await createLogger({ process: settings.instance }, settings.logLevel);
+  const log = createLogger({ process: settings.instance }, settings.logLevel);
   const secret = readFileSync(settings.meshSecretFile, 'utf8').trim();
   const { backendServer } = settings;
   const kernel = createKernel<AgentServices>();
--- a/packages/agent/src/call-records.ts
+++ b/packages/agent/src/call-records.ts
@@ -13,8 +13,8 @@
   type IdempotencyRecords,
   type RecordedOutcome,
   type StartResult,
-} from '@masticbend/platform/idempotency';
-import { PlatformError } from '@masticbend/platform/table';
+} from '@masticbend/state/idempotency';
+import { PlatformError } from '@masticbend/state/table';
 
 /** Shortest and longest time the store is left alone after a failure, in milliseconds. */
 const BACKOFF_MIN_MS = 200;
--- a/packages/agent/src/granted-calls.ts
+++ b/packages/agent/src/granted-calls.ts
@@ -6,7 +6,7 @@
 import type { Dispatcher as HttpClient } from 'undici';
 import type { Clock } from '@masticbend/kernel/clock';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
-import type { CallAttempt, RecordedOutcome, StartResult } from '@masticbend/platform/idempotency';
+import type { CallAttempt, RecordedOutcome, StartResult } from '@masticbend/state/idempotency';
 import { ErrorKind } from '@masticbend/protocol/error';
 import type { BodyMessage, GrantMessage, Message, Usage } from '@masticbend/protocol/message';
 import { startBackendCall, type AnswerEvents, type RunningCall } from './backend-call.js';
--- a/packages/agent/src/order-keeper.ts
+++ b/packages/agent/src/order-keeper.ts
@@ -6,7 +6,7 @@
 import type { Dispatcher } from 'undici';
 import type { Clock } from '@masticbend/kernel/clock';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
-import type { Lease, LeaseKeeper } from '@masticbend/platform/lease';
+import type { Lease, LeaseKeeper } from '@masticbend/state/lease';
 import { fetchModels, type LoadedModel } from './backend-probe.js';
 import { computeOrders, type EngineOrder } from './orders.js';
 import { createCheckedClient } from './start-check.js';
--- a/packages/agent/src/outcome.ts
+++ b/packages/agent/src/outcome.ts
@@ -1,5 +1,5 @@
 /** Outcomes of keyed calls: collected while the answer passes, and played back to a repeat. */
-import type { CallAttempt, RecordedOutcome } from '@masticbend/platform/idempotency';
+import type { CallAttempt, RecordedOutcome } from '@masticbend/state/idempotency';
 import { ErrorKind, type Failure } from '@masticbend/protocol/error';
 import type { Message } from '@masticbend/protocol/message';
 import type { CallRecords } from './call-records.js';
--- a/packages/agent/src/served-work.ts
+++ b/packages/agent/src/served-work.ts
@@ -2,7 +2,7 @@
  * What the backend server beside this agent can be given: the facts of the configuration, less
  * the models that its engine has not loaded yet.
  */
-import type { ConfigurationReplica } from '@masticbend/platform/configuration-replica';
+import type { ConfigurationReplica } from '@masticbend/state/configuration-replica';
 import type { AgentSchedulerOptions } from '@masticbend/scheduling/agent-scheduler';
 import { TIER_LIMIT } from '@masticbend/settings/configuration';
 import type { LoadedModel } from './backend-probe.js';
--- a/packages/agent/test/at-most-once.test.ts
+++ b/packages/agent/test/at-most-once.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import { createSystemClock } from '@masticbend/kernel/clock';
-import { createIdempotencyRecords } from '@masticbend/platform/idempotency';
-import { createTableClient } from '@masticbend/platform/table';
+import { createIdempotencyRecords } from '@masticbend/state/idempotency';
+import { createTableClient } from '@masticbend/state/table';
 import { waitFor } from '@masticbend/standins/http';
 import { startService, type Service } from '@masticbend/standins/service';
 import { startTable, type Table } from '@masticbend/standins/table';
--- a/packages/agent/test/call-records.test.ts
+++ b/packages/agent/test/call-records.test.ts
@@ -1,8 +1,8 @@
 import { expect } from 'chai';
 import { createVirtualClock, type VirtualClock } from '@masticbend/kernel/clock';
 import { createSilentLogger } from '@masticbend/kernel/log';
-import type { CallAttempt, IdempotencyRecords } from '@masticbend/platform/idempotency';
-import { PlatformError } from '@masticbend/platform/table';
+import type { CallAttempt, IdempotencyRecords } from '@masticbend/state/idempotency';
+import { PlatformError } from '@masticbend/state/table';
 import { createCallRecords, type CallRecords } from '../src/call-records.js';
 
 const SEED = 20261203;
--- a/packages/agent/test/harness.ts
+++ b/packages/agent/test/harness.ts
@@ -7,8 +7,8 @@
 import { Pool } from 'undici';
 import { createSystemClock, type Clock } from '@masticbend/kernel/clock';
 import { createSilentLogger } from '@masticbend/kernel/log';
-import { createIdempotencyRecords } from '@masticbend/platform/idempotency';
-import { createTableClient } from '@masticbend/platform/table';
+import { createIdempotencyRecords } from '@masticbend/state/idempotency';
+import { createTableClient } from '@masticbend/state/table';
 import { createConnection, type Connection } from '@masticbend/protocol/connection';
 import type {
   BackendCall,
--- a/packages/agent/test/orders.test.ts
+++ b/packages/agent/test/orders.test.ts
@@ -6,8 +6,8 @@
   CLOCK_ALLOWANCE_MS,
   createLeaseKeeper,
   type LeaseKeeper,
-} from '@masticbend/platform/lease';
-import { createTableClient, type TableClient } from '@masticbend/platform/table';
+} from '@masticbend/state/lease';
+import { createTableClient, type TableClient } from '@masticbend/state/table';
 import { startEngine, type Engine } from '@masticbend/standins/engine';
 import { startTable, type Table } from '@masticbend/standins/table';
 import type { LoadedModel } from '../src/backend-probe.js';
--- a/packages/bench/src/slopes/studies.ts
+++ b/packages/bench/src/slopes/studies.ts
@@ -1,6 +1,6 @@
 /** The studies: each varies one cause and measures what the roles and the table spend on it. */
 import { createSilentLogger } from '@masticbend/kernel/log';
-import { createConfigurationReplica } from '@masticbend/platform/configuration-replica';
+import { createConfigurationReplica } from '@masticbend/state/configuration-replica';
 import { encodeFrame } from '@masticbend/protocol/frame';
 import { parseConfiguration } from '@masticbend/settings/configuration';
 import type { Operation } from '@masticbend/settings/document';
--- a/packages/entry/src/administration.ts
+++ b/packages/entry/src/administration.ts
@@ -4,12 +4,12 @@
  */
 import type { App, Request, Response } from '@tinyhttp/app';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
-import type { EditResult, ProposedEdit } from '@masticbend/platform/configuration-editor';
+import type { EditResult, ProposedEdit } from '@masticbend/state/configuration-editor';
 import type {
   ConfigurationReplica,
   HeldRevision,
-} from '@masticbend/platform/configuration-replica';
-import type { EditRecord } from '@masticbend/platform/configuration-store';
+} from '@masticbend/state/configuration-replica';
+import type { EditRecord } from '@masticbend/state/configuration-store';
 import { createFailureAnswer, ErrorKind, type Failure } from '@masticbend/protocol/error';
 import { checkConfiguration, type Configuration } from '@masticbend/settings/configuration';
 import { applyOperations, formatDocument, type Operation } from '@masticbend/settings/document';
--- a/packages/entry/src/configuration.ts
+++ b/packages/entry/src/configuration.ts
@@ -10,11 +10,11 @@
   createConfigurationEditor,
   type EditResult,
   type ProposedEdit,
-} from '@masticbend/platform/configuration-editor';
-import type { ConfigurationExchange } from '@masticbend/platform/configuration-exchange';
-import { refreshReplica } from '@masticbend/platform/configuration-refresh';
-import type { ConfigurationReplica } from '@masticbend/platform/configuration-replica';
-import type { ConfigurationStore } from '@masticbend/platform/configuration-store';
+} from '@masticbend/state/configuration-editor';
+import type { ConfigurationExchange } from '@masticbend/state/configuration-exchange';
+import { refreshReplica } from '@masticbend/state/configuration-refresh';
+import type { ConfigurationReplica } from '@masticbend/state/configuration-replica';
+import type { ConfigurationStore } from '@masticbend/state/configuration-store';
 import { parseConfiguration, type Configuration } from '@masticbend/settings/configuration';
 import { formatDocument, parseDocument } from '@masticbend/settings/document';
 import { computeDocumentDigest } from '@masticbend/settings/document-digest';
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -12,14 +12,14 @@
 import {
   createConfigurationExchange,
   type ConfigurationExchange,
-} from '@masticbend/platform/configuration-exchange';
+} from '@masticbend/state/configuration-exchange';
 import {
   createConfigurationReplica,
   type ConfigurationReplica,
-} from '@masticbend/platform/configuration-replica';
-import { createConfigurationStore } from '@masticbend/platform/configuration-store';
-import { createObjectStore } from '@masticbend/platform/object-store';
-import { createTableClient } from '@masticbend/platform/table';
+} from '@masticbend/state/configuration-replica';
+import { createConfigurationStore } from '@masticbend/state/configuration-store';
+import { createObjectStore } from '@masticbend/state/object-store';
+import { createTableClient } from '@masticbend/state/table';
 import { createLengthEstimator, type LengthEstimator } from '@masticbend/scheduling/length';
 import { createRetryBudget, type RetryBudget } from '@masticbend/scheduling/retry-budget';
 import { createRouter, type Router } from '@masticbend/scheduling/router';
@@ -65,7 +65,7 @@
 
 /** Builds an entry; `start` and `stop` of the kernel run it. */
 export async function createEntry(settings: EntrySettings): Promise<Kernel<EntryServices>> {
-  const log = await createLogger({ process: settings.instance }, settings.logLevel);
+  const log = createLogger({ process: settings.instance }, settings.logLevel);
   const secret = readFileSync(settings.meshSecretFile, 'utf8').trim();
   const state = { stopping: false };
   const kernel = createKernel<EntryServices>();
--- /dev/null
+++ b/packages/gateway/src/peer-mesh.ts
@@ -0,0 +1,226 @@
+/**
+ * Connections between the entries of a deployment. Of two entries the one with the lesser name
+ * dials. Each sends the others what it runs and what it has admitted; a peer counts as heard while
+ * its reports keep coming.
+ */
+import { connect, createServer, type Server, type Socket } from 'node:net';
+import type { Clock } from '@masticbend/kernel/clock';
+import { LogEvent, type Logger } from '@masticbend/kernel/log';
+import { createConnection, type Connection } from '@masticbend/protocol/connection';
+import type { Message, PeerReportMessage } from '@masticbend/protocol/message';
+import type { Member } from './members.js';
+import { splitAddress } from './settings.js';
+
+/** Interval of reports while something changes, and at rest, in milliseconds. */
+const REPORT_INTERVAL_MS = 40;
+const REST_INTERVAL_MS = 200;
+/** Silence after which a peer no longer counts as heard, in milliseconds. */
+const HEARD_LIMIT_MS = 700;
+/** Silence after which a connection is dialled anew, in milliseconds. */
+const STUCK_LIMIT_MS = 1_500;
+/** Pause between two tries to dial a peer, and the longest wait for one, in milliseconds. */
+const DIAL_INTERVAL_MS = 300;
+const DIAL_LIMIT_MS = 500;
+
+/** What a peer has reported. */
+export interface PeerReport {
+  running: ReadonlyMap<string, number>;
+  /** Units it admitted since its last report, by account. */
+  admitted: ReadonlyMap<string, number>;
+}
+
+/** Mesh of one entry. */
+export interface PeerMesh {
+  start: () => Promise<void>;
+  stop: () => void;
+  setMembers: (members: readonly Member[]) => void;
+  /** Peers heard within the limit. */
+  countHeard: () => number;
+  dump: () => unknown;
+}
+
+/** What the mesh needs. */
+export interface PeerMeshOptions {
+  self: Member;
+  incarnation: string;
+  clock: Clock;
+  log: Logger;
+  /** What this entry reports now. */
+  describe: () => { running: ReadonlyMap<string, number>; admitted: ReadonlyMap<string, number> };
+  onReport: (peer: string, report: PeerReport) => void;
+  /** The peer's reports no longer hold. */
+  onLost: (peer: string) => void;
+  /** Called at each round of reports. */
+  onRound: () => void;
+}
+
+interface Peer {
+  instance: string;
+  incarnation: string;
+  connection: Connection;
+  heardAt: number;
+  heard: boolean;
+  units: Map<string, number> | undefined;
+}
+
+/** Returns a mesh that does not listen yet. */
+export function createPeerMesh(options: PeerMeshOptions): PeerMesh {
+  const { self, incarnation, clock, log, describe, onReport, onLost, onRound } = options;
+  const peers = new Map<string, Peer>();
+  const dialledAt = new Map<string, number>();
+  /** Units of each incarnation seen last, kept while its connection is away. */
+  const lastUnits = new Map<string, Map<string, number>>();
+  let members: readonly Member[] = [];
+  let server: Server | undefined;
+  let stopRound = () => {};
+  let lastSentAt = 0;
+  let lastText = '';
+
+  function openConnection(socket: Socket): void {
+    let peer: Peer | undefined;
+    const connection = createConnection(socket, clock, {
+      onMessage(message) {
+        if (message.kind === 'peer-hello') {
+          peer = addPeer(message.instance, message.incarnation, connection);
+        } else if (message.kind === 'peer-report' && peer) {
+          receiveReport(peer, message);
+        }
+      },
+      onClose(reason) {
+        if (peer && peers.get(peer.instance) === peer) dropPeer(peer, reason);
+      },
+    });
+    connection.send({ kind: 'peer-hello', instance: self.instance, incarnation });
+    connection.send(createReport());
+  }
+
+  function addPeer(instance: string, peerIncarnation: string, connection: Connection): Peer {
+    const known = peers.get(instance);
+    const key = `${instance} ${peerIncarnation}`;
+    const peer: Peer = {
+      instance,
+      incarnation: peerIncarnation,
+      connection,
+      heardAt: clock.now(),
+      heard: true,
+      units: lastUnits.get(key),
+    };
+    peers.set(instance, peer);
+    if (known && known.connection !== connection) known.connection.close('replaced');
+    log.info(LogEvent.PeerOpened, { peer: instance, incarnation: peerIncarnation });
+    return peer;
+  }
+
+  function dropPeer(peer: Peer, reason: string): void {
+    peers.delete(peer.instance);
+    const ageMs = Math.round(clock.now() - peer.heardAt);
+    log.info(LogEvent.PeerClosed, { peer: peer.instance, reason, ageMs });
+    onLost(peer.instance);
+  }
+
+  function receiveReport(peer: Peer, message: PeerReportMessage): void {
+    peer.heardAt = clock.now();
+    peer.heard = true;
+    const units = new Map(message.accounts.map((name, index) => [name, message.units[index] ?? 0]));
+    const admitted = new Map<string, number>();
+    for (const [account, total] of units) {
+      // What a peer admitted before it was first heard was taken from its own part.
+      const before = peer.units ? (peer.units.get(account) ?? 0) : total;
+      if (total !== before) admitted.set(account, total - before);
+    }
+    peer.units = units;
+    lastUnits.set(`${peer.instance} ${peer.incarnation}`, units);
+    const running = new Map(message.servers.map((id, index) => [id, message.running[index] ?? 0]));
+    onReport(peer.instance, { running, admitted });
+  }
+
+  function createReport(): PeerReportMessage {
+    const { running, admitted } = describe();
+    return {
+      kind: 'peer-report',
+      servers: [...running.keys()],
+      running: [...running.values()],
+      accounts: [...admitted.keys()],
+      units: [...admitted.values()],
+    };
+  }
+
+  function dialMissing(now: number): void {
+    for (const { instance, address } of members) {
+      const due = (dialledAt.get(instance) ?? -Infinity) + DIAL_INTERVAL_MS <= now;
+      if (self.instance < instance && !peers.has(instance) && due) {
+        dialledAt.set(instance, now);
+        dial(address);
+      }
+    }
+  }
+
+  function dial(address: string): void {
+    const { host, port } = splitAddress(address);
+    const socket = connect({ host, port });
+    const stopTimer = clock.startTimer(DIAL_LIMIT_MS, () => socket.destroy());
+    // A failed dial is tried again at the next interval.
+    socket.once('error', () => undefined);
+    socket.once('close', stopTimer);
+    socket.once('connect', () => {
+      stopTimer();
+      openConnection(socket);
+    });
+  }
+
+  function checkPeers(now: number): void {
+    for (const peer of [...peers.values()]) {
+      const silentMs = now - peer.heardAt;
+      if (silentMs > STUCK_LIMIT_MS) peer.connection.close('no reports');
+      else if (silentMs > HEARD_LIMIT_MS && peer.heard) {
+        peer.heard = false;
+        onLost(peer.instance);
+      }
+    }
+  }
+
+  function sendReports(now: number): void {
+    if (peers.size === 0) return;
+    const report: Message = createReport();
+    const text = JSON.stringify(report);
+    if (text === lastText && now - lastSentAt < REST_INTERVAL_MS) return;
+    lastText = text;
+    lastSentAt = now;
+    for (const { connection } of peers.values()) connection.send(report);
+  }
+
+  function runRound(): void {
+    const now = clock.now();
+    checkPeers(now);
+    dialMissing(now);
+    sendReports(now);
+    onRound();
+    stopRound = clock.startTimer(REPORT_INTERVAL_MS, runRound);
+  }
+
+  return {
+    start() {
+      const { host, port } = splitAddress(self.address);
+      const listener = createServer({ noDelay: true }, openConnection);
+      server = listener;
+      runRound();
+      return new Promise((resolve, reject) => {
+        listener.once('error', reject);
+        listener.listen(port, host, resolve);
+      });
+    },
+    stop() {
+      stopRound();
+      server?.close();
+      for (const peer of [...peers.values()]) peer.connection.close('stopping');
+    },
+    setMembers(next) {
+      members = next;
+    },
+    countHeard: () => [...peers.values()].filter(({ heard }) => heard).length,
+    dump: () => ({
+      members: members.length,
+      peers: [...peers.values()].map(({ instance, heard }) => ({ instance, heard })),
+    }),
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/requests.ts
@@ -0,0 +1,606 @@
+/**
+ * The requests of one entry, from their arrival to their final answer: who may call, whether the
+ * account has room, where the request goes or how long it waits, and what follows a failed attempt.
+ */
+import type { Clock } from '@masticbend/kernel/clock';
+import { LogEvent, type LogFields, type Logger } from '@masticbend/kernel/log';
+import type { CallerFacts } from '@masticbend/platform/ingress';
+import { ErrorKind, type Failure } from '@masticbend/protocol/error';
+import { chooseService } from '@masticbend/scheduling/gateway-route';
+import type { RepeatBudget } from '@masticbend/scheduling/repeat-budget';
+import {
+  countHeld,
+  type PlacedWork,
+  type ServerBoard,
+  type ServerEntry,
+} from '@masticbend/scheduling/server-board';
+import { countUnits, type SharedLimits } from '@masticbend/scheduling/shared-limit';
+import type { WaitingLine } from '@masticbend/scheduling/waiting-line';
+import { Repeat, type GatewayAccount, type GatewayRoute } from '@masticbend/settings/routing';
+import { startAttempt, type Attempt, type AttemptResult } from './attempt.js';
+import type { BackendClient } from './backend-client.js';
+import type { ConfigurationView } from './configuration-view.js';
+import type { Delivery } from './delivery.js';
+
+/** Part of the objective in which a waiting request must be sent, less the time to its first byte. */
+const WAIT_PART = 0.85;
+/** Least wait that a request is allowed, as a part of its objective. */
+const LEAST_WAIT_PART = 0.1;
+/** Time by which a backend server's own answer at the deadline goes before ours, in milliseconds. */
+const DEADLINE_MARGIN_MS = 40;
+/** Interval of the check for requests that waited too long, in milliseconds. */
+const EXPIRY_CHECK_MS = 10;
+/** Silence after which a repeatable request goes elsewhere: parts of objective and pause. */
+const SILENT_OBJECTIVES = 2.5;
+const SILENT_PAUSES = 4;
+const LEAST_SILENCE_MS = 600;
+/** Time a server that had no room is passed over, in milliseconds. */
+const FULL_PAUSE_MS = 30;
+/** Bounds of the advice when to come back, in milliseconds, and its random part. */
+const LEAST_RETRY_MS = 300;
+const LONGEST_RETRY_MS = 3_000;
+const RETRY_SPREAD = 1;
+/** Advice while the store or the servers are away, in milliseconds. */
+const OUTAGE_RETRY_MS = 1_000;
+/** Output tokens expected of a request that gives no estimate, as a part of its most. */
+const EXPECTED_OUTPUT_PART = 0.3;
+
+/** A request as it came in. */
+export interface IncomingRequest {
+  method: string;
+  /** Path with query, as sent. */
+  target: string;
+  host: string;
+  rawHeaders: readonly string[];
+  facts: CallerFacts;
+  body: Buffer;
+  arrivedAt: number;
+}
+
+/** What the requests need from the rest of the entry. */
+export interface RequestsOptions {
+  clock: Clock;
+  log: Logger;
+  drawRandom: () => number;
+  client: BackendClient;
+  board: ServerBoard;
+  line: WaitingLine;
+  limits: SharedLimits;
+  repeats: RepeatBudget;
+  getView: () => ConfigurationView | undefined;
+  /** Tells whether the keys in force are known recently enough to admit by them. */
+  areKeysFresh: () => boolean;
+  /** Instances that share the limits. */
+  countInstances: () => number;
+  recordOutcome: (outcome: RequestOutcome) => void;
+}
+
+/** One answered request, for metrics. */
+export interface RequestOutcome {
+  route: string;
+  tier: number;
+  account: string;
+  outcome: string;
+  totalMs: number;
+}
+
+/** Requests of one entry. */
+export interface Requests {
+  /** Takes a request; `connect` wraps its response and reports when the caller leaves. */
+  accept: (incoming: IncomingRequest, connect: (onAbandoned: () => void) => Delivery) => void;
+  /** Sends waiting requests to places that came free. */
+  pump: () => void;
+  countOpen: () => number;
+  dump: () => unknown;
+  stop: () => void;
+}
+
+interface RequestState {
+  id: string;
+  incoming: IncomingRequest;
+  delivery: Delivery;
+  route: GatewayRoute;
+  service: string;
+  account?: GatewayAccount;
+  tier: number;
+  version: number;
+  work: PlacedWork;
+  units: number;
+  deadlineAt: number;
+  tried: Set<string>;
+  /** Servers that it was sent to. */
+  sent: number;
+  /** Attempts that may have run. */
+  mayHaveRun: number;
+  lastEventId?: string;
+  attempt?: Attempt;
+  /** Frees the place that the attempt holds. */
+  release: () => void;
+  /** A backend server's failure, delivered when no repeat does better. */
+  fallback?: Extract<AttemptResult, { kind: 'answer' }>;
+  lastReason: string;
+  stopDeadline: () => void;
+}
+
+/** Returns an entry's requests. */
+export function createRequests(options: RequestsOptions): Requests {
+  const { clock, log, drawRandom, client, board, line, limits, repeats } = options;
+  const open = new Map<string, RequestState>();
+  let next = 1;
+  let stopExpiry = clock.startTimer(EXPIRY_CHECK_MS, checkExpiry);
+
+  function accept(
+    incoming: IncomingRequest,
+    connect: (onAbandoned: () => void) => Delivery,
+  ): void {
+    const view = options.getView();
+    let state: RequestState | undefined;
+    const delivery = connect(() => state && abandon(state));
+    const refusal = checkAccess(view, incoming);
+    if ('kind' in refusal) {
+      logRefusal(incoming.facts.requestId, refusal, { host: incoming.host, path: incoming.target });
+      delivery.fail(refusal);
+      return;
+    }
+    state = createState(incoming, delivery, refusal.route, refusal.account, view!);
+    open.set(state.id, state);
+    const limited = checkLimit(state);
+    if (limited) {
+      refuse(state, limited);
+      return;
+    }
+    repeats.recordRequest(clock.now(), state.service);
+    place(state);
+  }
+
+  function checkAccess(
+    view: ConfigurationView | undefined,
+    { host, target, facts }: IncomingRequest,
+  ): Failure | { route: GatewayRoute; account?: GatewayAccount } {
+    const retryAfterMs = OUTAGE_RETRY_MS;
+    if (!view) return { kind: ErrorKind.ConfigurationUnavailable, retryAfterMs };
+    const route = view.routes.find(host, target);
+    if (!route) return { kind: ErrorKind.NotFound };
+    if (route.anonymous || view.configuration.accounts.length === 0) return { route };
+    if (!options.areKeysFresh()) return { kind: ErrorKind.PlatformUnavailable, retryAfterMs };
+    const account = view.accounts.get(facts.apiKey ?? '');
+    return account ? { route, account } : { kind: ErrorKind.Unauthenticated };
+  }
+
+  function createState(
+    incoming: IncomingRequest,
+    delivery: Delivery,
+    route: GatewayRoute,
+    account: GatewayAccount | undefined,
+    { configuration }: ConfigurationView,
+  ): RequestState {
+    const { facts, arrivedAt } = incoming;
+    const service = chooseService(route, drawRandom);
+    const engine = configuration.services.get(service)?.engine;
+    const limitMs = Math.min(facts.deadlineMs ?? route.timeoutMs, route.timeoutMs);
+    const id = `${facts.requestId || 'none'}.${next}`;
+    next += 1;
+    const state: RequestState = {
+      id,
+      incoming,
+      delivery,
+      route,
+      service,
+      account,
+      tier: account?.tier ?? route.tier,
+      version: configuration.version,
+      work: describeWork(route, facts, engine?.tokensPerEvent ?? 1),
+      units: 0,
+      deadlineAt: arrivedAt + limitMs,
+      tried: new Set(),
+      sent: 0,
+      mayHaveRun: 0,
+      lastReason: '',
+      release: () => {},
+      stopDeadline: () => {},
+    };
+    const leftMs = state.deadlineAt - clock.now() + DEADLINE_MARGIN_MS;
+    state.stopDeadline = clock.startTimer(leftMs, () => handleDeadline(state));
+    return state;
+  }
+
+  function checkLimit(state: RequestState): Failure | undefined {
+    const { account, incoming } = state;
+    if (!account?.limit) return undefined;
+    const { promptTokens, outputTokens } = incoming.facts;
+    const units = countUnits(account.limit, promptTokens, outputTokens);
+    const waitMs = limits.tryTake(clock.now(), account.name, account.limit, units);
+    if (waitMs === undefined) {
+      state.units = units;
+      return undefined;
+    }
+    return { kind: ErrorKind.RateLimited, retryAfterMs: spreadRetry(waitMs) };
+  }
+
+  /** Sends a request to a backend server, or lets it wait for a place, or refuses it. */
+  function place(state: RequestState): void {
+    const now = clock.now();
+    const choice = board.choose(now, state.service, state.work, state.tried);
+    if (choice.kind === 'none') {
+      giveUp(state, { kind: ErrorKind.NoBackendServer, retryAfterMs: OUTAGE_RETRY_MS });
+      return;
+    }
+    if (choice.kind === 'server' && line.count(state.service) === 0) {
+      dispatch(state, choice.entry, choice.finishMs);
+      return;
+    }
+    const { places } = board.countPlaces(now, state.service);
+    const waitMs = line.add(now, describeWaiting(state), places / options.countInstances());
+    if (waitMs !== undefined) {
+      giveUp(state, { kind: ErrorKind.Overloaded, retryAfterMs: spreadRetry(waitMs) });
+      return;
+    }
+    if (choice.kind === 'server') pumpService(state.service);
+  }
+
+  function describeWaiting(state: RequestState) {
+    const { id, service, account, tier, route, work, incoming } = state;
+    const firstMs = board.estimateFirstMs(service, work);
+    const waitMs = Math.max(
+      route.objectiveMs * LEAST_WAIT_PART,
+      route.objectiveMs * WAIT_PART - firstMs,
+    );
+    const isRepeat = state.mayHaveRun > 0;
+    return {
+      id,
+      service,
+      account: account?.name ?? '',
+      tier,
+      arrivedAt: incoming.arrivedAt,
+      startBy: isRepeat ? state.deadlineAt : incoming.arrivedAt + waitMs,
+      costMs: board.estimateHoldMs(service, work),
+      tokens: (incoming.facts.promptTokens ?? 0) + (incoming.facts.outputTokens ?? 0),
+    };
+  }
+
+  function dispatch(state: RequestState, entry: ServerEntry, finishMs: number): void {
+    const { incoming, delivery, route, account, work } = state;
+    const now = clock.now();
+    const refusal = recheckAccess(state);
+    if (refusal) {
+      giveUp(state, refusal);
+      return;
+    }
+    const { server } = entry;
+    state.tried.add(server.id);
+    log.info(LogEvent.RequestPlaced, {
+      request: incoming.facts.requestId,
+      route: route.name,
+      server: server.id,
+      born: server.bornAt,
+      version: state.version,
+      held: countHeld(entry),
+      own: entry.running,
+      slots: server.slots,
+      expectedMs: Math.round(finishMs),
+      waitedMs: Math.round(now - incoming.arrivedAt),
+      attempt: state.sent + 1,
+    });
+    board.addRun(entry, work);
+    let reading = true;
+    const stopReading = () => {
+      if (reading) board.dropReading(entry, work);
+      reading = false;
+    };
+    state.release = () => {
+      stopReading();
+      board.removeRun(entry);
+    };
+    const startedAt = now;
+    state.attempt = startAttempt(
+      clock,
+      client,
+      server,
+      {
+        requestId: incoming.facts.requestId,
+        method: incoming.method,
+        target: incoming.target,
+        rawHeaders: incoming.rawHeaders,
+        body: incoming.body,
+        account: account?.name,
+        streamed: route.streamed,
+        deadlineMs: state.deadlineAt - now,
+        lastEventId: state.lastEventId,
+        silenceMs: chooseSilence(state),
+      },
+      delivery,
+      {
+        onSent() {
+          state.sent += 1;
+        },
+        onFirst(elapsedMs) {
+          stopReading();
+          if (route.streamed) board.recordFirst(entry, work, elapsedMs);
+        },
+        onPace: (intervalMs) => board.recordPace(entry, intervalMs),
+        onResult(result) {
+          state.release();
+          state.attempt = undefined;
+          if (!route.streamed && result.kind === 'answer') {
+            board.recordWork(entry, clock.now() - startedAt);
+          }
+          handleResult(state, entry, result);
+          pumpService(state.service);
+        },
+      },
+    );
+  }
+
+  /** A key or a route may have been taken away while the request waited. */
+  function recheckAccess(state: RequestState): Failure | undefined {
+    const { account, incoming, version } = state;
+    if (!account) return undefined;
+    if (!options.areKeysFresh()) {
+      return { kind: ErrorKind.PlatformUnavailable, retryAfterMs: OUTAGE_RETRY_MS };
+    }
+    const view = options.getView()!;
+    if (view.configuration.version === version) return undefined;
+    const isKept = view.accounts.get(incoming.facts.apiKey ?? '')?.name === account.name;
+    return isKept ? undefined : { kind: ErrorKind.Unauthenticated };
+  }
+
+  function chooseSilence({ route, sent }: RequestState): number {
+    if (route.repeat === Repeat.Never || sent + 1 >= route.attempts) return 0;
+    const first = route.objectiveMs * SILENT_OBJECTIVES;
+    const between = route.streamed ? route.pauseMs * SILENT_PAUSES : 0;
+    return Math.max(LEAST_SILENCE_MS, first, between);
+  }
+
+  function handleResult(state: RequestState, entry: ServerEntry, result: AttemptResult): void {
+    const now = clock.now();
+    if (result.kind === 'delivered') {
+      board.recordSuccess(entry);
+      finish(state, String(result.status));
+      return;
+    }
+    if (result.kind === 'answer' && !isRepeatableAnswer(state, result.status)) {
+      if (result.status >= 500) board.recordFailure(entry);
+      else board.recordSuccess(entry);
+      state.delivery.answer(result.status, result.headers, result.body);
+      finish(state, String(result.status));
+      return;
+    }
+    recordTrouble(state, entry, result, now);
+    if (result.kind === 'unsent') {
+      place(state);
+    } else if (takeRepeat(state)) {
+      log.info(LogEvent.RequestRepeated, {
+        request: state.incoming.facts.requestId,
+        from: entry.server.id,
+        reason: state.lastReason,
+        after: state.lastEventId,
+      });
+      place(state);
+    } else {
+      giveUp(state, { kind: ErrorKind.Overloaded, retryAfterMs: spreadRetry(0) });
+    }
+  }
+
+  function recordTrouble(
+    state: RequestState,
+    entry: ServerEntry,
+    result: AttemptResult,
+    now: number,
+  ): void {
+    if (result.kind === 'answer') {
+      state.mayHaveRun += 1;
+      state.fallback = result;
+      state.lastReason = `status ${result.status}`;
+      board.recordFailure(entry);
+    } else if (result.kind === 'not-run') {
+      state.lastReason = `not run, status ${result.status}`;
+      entry.ejectedUntil = Math.max(entry.ejectedUntil, now + FULL_PAUSE_MS);
+    } else if (result.kind !== 'delivered') {
+      state.lastReason = result.reason;
+      if (result.kind === 'broken') {
+        state.mayHaveRun += 1;
+        state.lastEventId = result.lastEventId;
+      }
+      if (board.recordSilence(now, entry)) {
+        log.warn(LogEvent.ServerEjected, {
+          server: entry.server.id,
+          reason: result.reason,
+          failures: entry.failuresInRow,
+          forMs: Math.round(entry.ejectedUntil - now),
+        });
+      }
+    }
+    log.info(LogEvent.AttemptFailed, {
+      request: state.incoming.facts.requestId,
+      server: entry.server.id,
+      result: result.kind,
+      reason: state.lastReason,
+      begun: state.delivery.hasBegun(),
+    });
+  }
+
+  /** A failure of the backend server is worth a repeat only where one is allowed. */
+  function isRepeatableAnswer({ route, sent }: RequestState, status: number): boolean {
+    return status >= 500 && route.repeat !== Repeat.Never && sent < route.attempts;
+  }
+
+  function takeRepeat(state: RequestState): boolean {
+    const { route, sent, mayHaveRun, delivery } = state;
+    if (sent >= route.attempts || clock.now() >= state.deadlineAt) return false;
+    if (mayHaveRun > 0 && route.repeat === Repeat.Never) return false;
+    if (delivery.hasBegun() && state.lastEventId === undefined) return false;
+    return repeats.tryTake(clock.now(), state.service, options.countInstances());
+  }
+
+  /** Ends a request that gets no further attempt: by what is known of those it had. */
+  function giveUp(state: RequestState, refusal: Failure): void {
+    const { fallback, delivery } = state;
+    if (state.mayHaveRun === 0) {
+      refuse(state, refusal);
+    } else if (fallback && !delivery.hasBegun()) {
+      delivery.answer(fallback.status, fallback.headers, fallback.body);
+      finish(state, String(fallback.status));
+    } else {
+      fail(state, { kind: ErrorKind.OutcomeUnknown });
+    }
+  }
+
+  function refuse(state: RequestState, failure: Failure): void {
+    logRefusal(state.incoming.facts.requestId, failure, {
+      route: state.route.name,
+      account: state.account?.name,
+      version: state.version,
+      waitedMs: Math.round(clock.now() - state.incoming.arrivedAt),
+      waiting: line.count(state.service),
+      last: state.lastReason,
+    });
+    if (state.account && state.units > 0) {
+      limits.refund(clock.now(), state.account.name, state.units);
+    }
+    state.delivery.fail(failure);
+    finish(state, failure.kind, false);
+  }
+
+  function fail(state: RequestState, failure: Failure): void {
+    log.info(LogEvent.RequestFailed, {
+      request: state.incoming.facts.requestId,
+      error: failure.kind,
+      reason: state.lastReason,
+      sent: state.sent,
+      begun: state.delivery.hasBegun(),
+      totalMs: Math.round(clock.now() - state.incoming.arrivedAt),
+    });
+    state.delivery.fail(failure);
+    finish(state, failure.kind, false);
+  }
+
+  function logRefusal(request: string, failure: Failure, fields: LogFields): void {
+    log.info(LogEvent.RequestRefused, {
+      request,
+      error: failure.kind,
+      retryAfterMs: failure.retryAfterMs && Math.round(failure.retryAfterMs),
+      ...fields,
+    });
+  }
+
+  function finish(state: RequestState, outcome: string, logged = true): void {
+    state.stopDeadline();
+    open.delete(state.id);
+    const totalMs = clock.now() - state.incoming.arrivedAt;
+    if (logged) {
+      log.info(LogEvent.RequestFinished, {
+        request: state.incoming.facts.requestId,
+        status: outcome,
+        sent: state.sent,
+        totalMs: Math.round(totalMs),
+      });
+    }
+    options.recordOutcome({
+      route: state.route.name,
+      tier: state.tier,
+      account: state.account?.name ?? '',
+      outcome,
+      totalMs,
+    });
+  }
+
+  function handleDeadline(state: RequestState): void {
+    if (!open.has(state.id)) return;
+    line.remove(state.service, state.id);
+    const wasSent = state.attempt?.wasSent() ?? false;
+    stopAttempt(state);
+    if (wasSent) state.mayHaveRun += 1;
+    if (state.mayHaveRun === 0) {
+      refuse(state, { kind: ErrorKind.DeadlineUnreachable, retryAfterMs: LEAST_RETRY_MS });
+    } else {
+      state.lastReason ||= 'deadline';
+      fail(state, { kind: ErrorKind.AnswerTimeout });
+    }
+    pumpService(state.service);
+  }
+
+  function abandon(state: RequestState): void {
+    if (!open.has(state.id)) return;
+    line.remove(state.service, state.id);
+    const wasSent = state.sent > 0;
+    stopAttempt(state);
+    if (!wasSent && state.account && state.units > 0) {
+      limits.refund(clock.now(), state.account.name, state.units);
+    }
+    log.info(LogEvent.RequestAbandoned, {
+      request: state.incoming.facts.requestId,
+      sent: state.sent,
+      totalMs: Math.round(clock.now() - state.incoming.arrivedAt),
+    });
+    finish(state, 'abandoned', false);
+    pumpService(state.service);
+  }
+
+  function stopAttempt(state: RequestState): void {
+    if (!state.attempt) return;
+    state.attempt.abort();
+    state.attempt = undefined;
+    state.release();
+  }
+
+  function pumpService(service: string): void {
+    for (let id = line.getFirst(service); id !== undefined; id = line.getFirst(service)) {
+      const state = open.get(id);
+      if (!state) {
+        line.remove(service, id);
+      } else {
+        const choice = board.choose(clock.now(), service, state.work, state.tried);
+        if (choice.kind === 'full') return;
+        line.take(service, id);
+        if (choice.kind === 'server') dispatch(state, choice.entry, choice.finishMs);
+        else giveUp(state, { kind: ErrorKind.NoBackendServer, retryAfterMs: OUTAGE_RETRY_MS });
+      }
+    }
+  }
+
+  function pump(): void {
+    for (const service of line.listServices()) pumpService(service);
+  }
+
+  function checkExpiry(): void {
+    for (const id of line.expire(clock.now())) {
+      const state = open.get(id);
+      if (state) {
+        giveUp(state, { kind: ErrorKind.DeadlineUnreachable, retryAfterMs: spreadRetry(0) });
+      }
+    }
+    pump();
+    stopExpiry = clock.startTimer(EXPIRY_CHECK_MS, checkExpiry);
+  }
+
+  /** Spreads the return of callers that were refused together. */
+  function spreadRetry(waitMs: number): number {
+    const base = Math.min(LONGEST_RETRY_MS, Math.max(LEAST_RETRY_MS, waitMs));
+    return base * (1 + drawRandom() * RETRY_SPREAD);
+  }
+
+  return {
+    accept,
+    pump,
+    countOpen: () => open.size,
+    dump: () => ({
+      open: open.size,
+      waiting: Object.fromEntries(line.listServices().map((name) => [name, line.count(name)])),
+    }),
+    stop: () => stopExpiry(),
+  };
+}
+
+function describeWork(
+  route: GatewayRoute,
+  facts: CallerFacts,
+  tokensPerEvent: number,
+): PlacedWork {
+  if (!route.streamed) return { promptTokens: 0, events: 0 };
+  const most = facts.outputTokens ?? 0;
+  const tokens = facts.expectedTokens ?? most * EXPECTED_OUTPUT_PART;
+  return {
+    promptTokens: facts.promptTokens ?? 0,
+    events: Math.max(1, Math.min(tokens, most || tokens) / tokensPerEvent),
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/settings.ts
@@ -0,0 +1,117 @@
+/** Settings of one gateway process: its addresses, its data centre, the store and the bounds. */
+import { readFileSync } from 'node:fs';
+import { parse, TomlError } from 'smol-toml';
+
+/** Bounds that operators promise their users. */
+export interface GatewayBounds {
+  /** Time between SIGTERM and SIGKILL, in seconds. */
+  graceS: number;
+  /** Age of the last confirmed read from which a request with a key is refused, in milliseconds. */
+  keyFreshnessMs: number;
+  /** Repeats over all instances: a share of the requests, a number more, and the window. */
+  repeatRatio: number;
+  repeatSlack: number;
+  repeatWindowS: number;
+}
+
+/** Settings of one process. Addresses are `IP:port`. */
+export interface GatewaySettings {
+  instance: string;
+  dataCentre: string;
+  callerAddress: string;
+  readinessAddress: string;
+  meshAddress: string;
+  metricsAddress: string;
+  storeAddress: string;
+  logLevel: string;
+  bounds: GatewayBounds;
+}
+
+/** Settings, or one line for each fault. */
+export type SettingsResult =
+  { ok: true; settings: GatewaySettings } | { ok: false; faults: string[] };
+
+type Check = (value: unknown) => string | undefined;
+
+const ADDRESS = /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/;
+const LOG_LEVELS = ['debug', 'info', 'warn', 'error'];
+const DEFAULT_LOG_LEVEL = 'info';
+
+const checkText: Check = (value) =>
+  typeof value === 'string' && value !== '' ? undefined : 'expected a text';
+const checkAddress: Check = (value) =>
+  typeof value === 'string' && ADDRESS.test(value) ? undefined : 'expected "IP:port"';
+const checkAmount: Check = (value) =>
+  typeof value === 'number' && value >= 0 ? undefined : 'expected a number from 0 up';
+const checkLevel: Check = (value) =>
+  value === undefined || LOG_LEVELS.includes(value as string)
+    ? undefined
+    : `expected one of ${LOG_LEVELS.join(', ')}`;
+
+const FIELDS: Readonly<Record<string, Check>> = {
+  instance: checkText,
+  dataCentre: checkText,
+  callerAddress: checkAddress,
+  readinessAddress: checkAddress,
+  meshAddress: checkAddress,
+  metricsAddress: checkAddress,
+  storeAddress: checkAddress,
+  logLevel: checkLevel,
+};
+const BOUND_FIELDS: Readonly<Record<keyof GatewayBounds, Check>> = {
+  graceS: checkAmount,
+  keyFreshnessMs: checkAmount,
+  repeatRatio: checkAmount,
+  repeatSlack: checkAmount,
+  repeatWindowS: checkAmount,
+};
+
+/** Parses and checks the text of a settings file; names every fault. */
+export function parseSettings(text: string): SettingsResult {
+  let document: Record<string, unknown>;
+  try {
+    document = parse(text);
+  } catch (error) {
+    if (!(error instanceof TomlError)) throw error;
+    const [summary] = error.message.split('\n');
+    return { ok: false, faults: [`line ${error.line}, column ${error.column}: ${summary}`] };
+  }
+  const { bounds = {}, ...top } = document;
+  const faults = [
+    ...listFaults('', top, FIELDS),
+    ...listFaults('bounds.', bounds as Record<string, unknown>, BOUND_FIELDS),
+  ];
+  if (faults.length > 0) return { ok: false, faults };
+  return {
+    ok: true,
+    settings: { logLevel: DEFAULT_LOG_LEVEL, ...document } as unknown as GatewaySettings,
+  };
+}
+
+/** Reads a settings file; throws with every fault named. */
+export function readSettings(path: string): GatewaySettings {
+  const result = parseSettings(readFileSync(path, 'utf8'));
+  if (result.ok) return result.settings;
+  throw new Error(`${path}: ${result.faults.join('; ')}`);
+}
+
+/** Splits `IP:port`. */
+export function splitAddress(address: string): { host: string; port: number } {
+  const [host = '', port] = address.split(':');
+  return { host, port: Number(port) };
+}
+
+function listFaults(
+  prefix: string,
+  found: Record<string, unknown>,
+  checks: Readonly<Record<string, Check>>,
+): string[] {
+  const unknown = Object.keys(found)
+    .filter((name) => !Object.hasOwn(checks, name))
+    .map((name) => `${prefix}${name}: unknown key, expected one of ${Object.keys(checks).join(', ')}`);
+  const wrong = Object.entries(checks).flatMap(([name, check]) => {
+    const fault = check(found[name]);
+    return fault === undefined ? [] : [`${prefix}${name}: ${fault}`];
+  });
+  return [...unknown, ...wrong];
+}
--- a/packages/kernel/src/clock.ts
+++ b/packages/kernel/src/clock.ts
@@ -26,6 +26,25 @@
   };
 }
 
+/**
+ * Returns elapsed milliseconds that also count the time in which the machine was suspended, which
+ * the monotonic clock leaves out. A forward step of the wall clock counts as well: what is leased
+ * then lapses early, never late.
+ */
+export function createElapsedTime(clock: Clock): () => number {
+  let elapsed = 0;
+  let monotonic = clock.now();
+  let wall = clock.readWallTime();
+  return () => {
+    const nextMonotonic = clock.now();
+    const nextWall = clock.readWallTime();
+    elapsed += Math.max(nextMonotonic - monotonic, nextWall - wall);
+    monotonic = nextMonotonic;
+    wall = nextWall;
+    return elapsed;
+  };
+}
+
 /** Resolves after a time on a clock. */
 export function waitFor(clock: Clock, durationMs: number): Promise<void> {
   return new Promise((resolve) => {
--- a/packages/kernel/src/log.ts
+++ b/packages/kernel/src/log.ts
@@ -1,9 +1,9 @@
 /**
- * Logs: one line of key=value pairs for each event, on standard error. The event name comes from
- * the closed list in `LogEvent`.
+ * Logs: one line of key=value pairs for each event, on standard output. The event name comes from
+ * the closed list in `LogEvent`. Lines are dropped, and counted, before they could hold up work.
  */
-import pino, { type DestinationStream } from 'pino';
-import * as logfmt from 'pino-logfmt';
+import pino from 'pino';
+import { createLineSink, type LineSink } from './line-sink.js';
 
 /** Names of the events a process may log. */
 export const LogEvent = {
@@ -15,6 +15,22 @@
   RequestRefused: 'request-refused',
   RequestFinished: 'request-finished',
   RequestFailed: 'request-failed',
+  RequestPlaced: 'request-placed',
+  RequestWaiting: 'request-waiting',
+  RequestRepeated: 'request-repeated',
+  RequestAbandoned: 'request-abandoned',
+  AttemptFailed: 'attempt-failed',
+  ServerChanged: 'server-changed',
+  ServerEjected: 'server-ejected',
+  KeysStale: 'keys-stale',
+  KeysFresh: 'keys-fresh',
+  PeerOpened: 'peer-opened',
+  PeerClosed: 'peer-closed',
+  LimitShareChanged: 'limit-share-changed',
+  HistoryLost: 'history-lost',
+  MemberChanged: 'member-changed',
+  SettingsReloaded: 'settings-reloaded',
+  ReadinessChanged: 'readiness-changed',
   BackendCallStarted: 'backend-call-started',
   BackendCallFinished: 'backend-call-finished',
   BackendCallFailed: 'backend-call-failed',
@@ -36,16 +52,6 @@
 } as const;
 export type LogEvent = (typeof LogEvent)[keyof typeof LogEvent];
 
-/** File descriptor the lines are written to. */
-const STANDARD_ERROR = 2;
-
-type CreateLogfmtStream = (
-  options: logfmt.LogFmtTransportOptions & Record<string, unknown>,
-) => Promise<DestinationStream>;
-
-// The package's typings leave out its default export.
-const { default: createLogfmtStream } = logfmt as unknown as { default: CreateLogfmtStream };
-
 /** Values a log line may carry. */
 export type LogFields = Record<string, string | number | boolean | undefined>;
 
@@ -55,23 +61,41 @@
   info: (event: LogEvent, fields?: LogFields) => void;
   warn: (event: LogEvent, fields?: LogFields) => void;
   error: (event: LogEvent, fields?: LogFields) => void;
+  /** Waits until the lines were taken, at most `limitMs`. */
+  flush: (limitMs: number) => Promise<void>;
 }
 
 /** Returns a logger whose lines all carry `base`. */
-export async function createLogger(base: LogFields, level = 'info'): Promise<Logger> {
-  const options = { includeLevelLabel: true, formatTime: true, destination: STANDARD_ERROR };
-  const stream = await createLogfmtStream(options);
-  const sink = pino({ level, base }, stream);
+export function createLogger(
+  base: LogFields,
+  level = 'info',
+  sink: LineSink = createLineSink(),
+): Logger {
+  const stream = { write: (json: string) => sink.writeLine(formatLine(json)) };
+  const writer = pino({ level, base, timestamp: pino.stdTimeFunctions.isoTime }, stream);
   return {
-    debug: (event, fields = {}) => sink.debug({ event, ...fields }),
-    info: (event, fields = {}) => sink.info({ event, ...fields }),
-    warn: (event, fields = {}) => sink.warn({ event, ...fields }),
-    error: (event, fields = {}) => sink.error({ event, ...fields }),
+    debug: (event, fields = {}) => writer.debug({ event, ...fields }),
+    info: (event, fields = {}) => writer.info({ event, ...fields }),
+    warn: (event, fields = {}) => writer.warn({ event, ...fields }),
+    error: (event, fields = {}) => writer.error({ event, ...fields }),
+    flush: sink.flush,
   };
 }
 
 /** Returns a logger that writes nothing. */
 export function createSilentLogger(): Logger {
   const skip = () => undefined;
-  return { debug: skip, info: skip, warn: skip, error: skip };
+  return { debug: skip, info: skip, warn: skip, error: skip, flush: () => Promise.resolve() };
+}
+
+/** Turns one JSON record of pino into key=value pairs. */
+function formatLine(json: string): string {
+  const { level, ...fields } = JSON.parse(json) as Record<string, unknown> & { level: number };
+  const pairs = Object.entries({ level: pino.levels.labels[level], ...fields });
+  return pairs.map(([key, value]) => `${key}=${formatValue(value)}`).join(' ');
+}
+
+function formatValue(value: unknown): string {
+  const text = typeof value === 'string' ? value : JSON.stringify(value);
+  return /^[^\s"=]+$/.test(text) ? text : JSON.stringify(text);
 }
--- a/packages/protocol/src/error.ts
+++ b/packages/protocol/src/error.ts
@@ -19,6 +19,7 @@
   Overloaded: 'overloaded',
   DeadlineUnreachable: 'deadline-unreachable',
   DeadlineExceeded: 'deadline-exceeded',
+  AnswerTimeout: 'answer-timeout',
   NoBackendServer: 'no-backend-server',
   Stopping: 'stopping',
   PlatformUnavailable: 'platform-unavailable',
@@ -126,6 +127,13 @@
     1_000,
     'The deadline passed before the call started.',
   ),
+  'answer-timeout': createRule(
+    504,
+    Unknown,
+    Never,
+    0,
+    'The call was sent but its answer did not come in time.',
+  ),
   'no-backend-server': createRule(
     503,
     No,
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -52,6 +52,8 @@
   Configuration: 'configuration',
   QuotaRequest: 'quota-request',
   Quota: 'quota',
+  PeerHello: 'peer-hello',
+  PeerReport: 'peer-report',
 } as const;
 export type MessageKind = (typeof MessageKind)[keyof typeof MessageKind];
 
@@ -362,6 +364,27 @@
   entries: number;
 }
 
+/** Entry → entry, first message either way. */
+export interface PeerHelloMessage {
+  kind: 'peer-hello';
+  instance: string;
+  /** Differs between two processes of the same instance. */
+  incarnation: string;
+}
+
+/**
+ * Entry → entry: what the sender runs and has admitted. Lists go by position; backend servers not
+ * named run nothing of it.
+ */
+export interface PeerReportMessage {
+  kind: 'peer-report';
+  servers: string[];
+  running: number[];
+  accounts: string[];
+  /** Units admitted since the sender's start, by account. */
+  units: number[];
+}
+
 export type Message =
   | ChallengeMessage
   | HelloMessage
@@ -389,7 +412,9 @@
   | ConfigurationEditMessage
   | ConfigurationMessage
   | QuotaRequestMessage
-  | QuotaMessage;
+  | QuotaMessage
+  | PeerHelloMessage
+  | PeerReportMessage;
 
 /** Message of one kind. */
 export type MessageOf<Kind extends MessageKind> = Extract<Message, { kind: Kind }>;
--- a/packages/protocol/src/shape.ts
+++ b/packages/protocol/src/shape.ts
@@ -142,6 +142,13 @@
   },
   'quota-request': { ...quotas, validMs: isAmount },
   quota: { ...quotas, validMs: isAmount, entries: isInteger },
+  'peer-hello': { instance: isText, incarnation: isText },
+  'peer-report': {
+    servers: isListOf(isText),
+    running: isListOf(isInteger),
+    accounts: isListOf(isText),
+    units: isListOf(isNumber),
+  },
 };
 
 const KINDS = Object.keys(SHAPES) as MessageKind[];
--- /dev/null
+++ b/packages/scheduling/src/server-board.ts
@@ -0,0 +1,268 @@
+/**
+ * What one instance believes of the backend servers of the routing configuration: who runs, how
+ * much work each holds by the instance's own count and its peers' reports, how fast each is, and
+ * whether it fails. Chooses the server on which a request is expected to finish first.
+ */
+import { ServerState, type BackendServer } from '@masticbend/settings/routing';
+
+/** How far an estimate follows the last observation. */
+const PACE_STEP = 0.1;
+const READING_STEP = 0.15;
+const FAILURE_STEP = 0.15;
+/** Estimates for a server not yet observed: those of a middling engine. */
+const INITIAL_PACE_MS = 30;
+const INITIAL_READING_MS = 60;
+const INITIAL_WORK_MS = 100;
+/** Failures in a row without an answer after which a server is left out, and for how long. */
+const EJECTION_FAILURES = 2;
+const EJECTION_MS = 1_000;
+const LONGEST_EJECTION_MS = 8_000;
+/** Penalty of a request that has to be repeated, for the share of requests that fail. */
+const FAILURE_COST_MS = 400;
+/** Penalty of a server in another data centre: the bytes that cross cost money. */
+const DISTANCE_COST_MS = 4;
+/** Slow-down of an engine by each request beside, as a share of its pace. */
+const CROWDING = 0.03;
+/** Requests sent ahead of a free place, so that an engine does not idle for a round trip. */
+const AHEAD = 1;
+
+/** What placement needs to know of a request. */
+export interface PlacedWork {
+  /** Prompt tokens, 0 for plain services. */
+  promptTokens: number;
+  /** Events that are expected in the answer; 0 for plain services. */
+  events: number;
+}
+
+/** State of one backend server. */
+export interface ServerEntry {
+  server: BackendServer;
+  /** Requests this instance has sent and that still run. */
+  running: number;
+  /** Prompt tokens of those that have not yet answered. */
+  readingTokens: number;
+  /** Requests that peers run there. */
+  peerRunning: Map<string, number>;
+  paceMs: number | undefined;
+  /** Time to the first event for each thousand prompt tokens in line. */
+  readingMs: number | undefined;
+  /** Time of a whole answer that is no stream. */
+  workMs: number | undefined;
+  failureShare: number;
+  failuresInRow: number;
+  ejectedUntil: number;
+}
+
+/** A choice of server, or why there is none. */
+export type Choice =
+  | { kind: 'server'; entry: ServerEntry; finishMs: number }
+  /** Servers run, but all their places are taken. */
+  | { kind: 'full' }
+  | { kind: 'none' };
+
+/** Board of all servers. Times are monotonic, in milliseconds. */
+export interface ServerBoard {
+  /** Brings the board in line with the list; entries of the same incarnation keep their state. */
+  setServers: (servers: readonly BackendServer[]) => void;
+  choose: (
+    now: number,
+    service: string,
+    work: PlacedWork,
+    tried: ReadonlySet<string>,
+  ) => Choice;
+  addRun: (entry: ServerEntry, work: PlacedWork) => void;
+  removeRun: (entry: ServerEntry) => void;
+  recordFirst: (entry: ServerEntry, work: PlacedWork, elapsedMs: number) => void;
+  dropReading: (entry: ServerEntry, work: PlacedWork) => void;
+  recordPace: (entry: ServerEntry, intervalMs: number) => void;
+  recordWork: (entry: ServerEntry, elapsedMs: number) => void;
+  recordSuccess: (entry: ServerEntry) => void;
+  /** The server answered with a failure of its own. */
+  recordFailure: (entry: ServerEntry) => void;
+  /** The server could not be reached or did not answer; true when it is now left out. */
+  recordSilence: (now: number, entry: ServerEntry) => boolean;
+  /** Sets what a peer runs on each server; servers it does not name have nothing of it. */
+  setPeerLoad: (peer: string, running: ReadonlyMap<string, number>) => void;
+  /** Running requests of this instance by server id. */
+  listRunning: () => Map<string, number>;
+  /** Middling estimates over a service's servers, in milliseconds. */
+  estimateFirstMs: (service: string, work: PlacedWork) => number;
+  estimateHoldMs: (service: string, work: PlacedWork) => number;
+  /** Places of a service and those in use. */
+  countPlaces: (now: number, service: string) => { places: number; used: number };
+  listServers: () => readonly ServerEntry[];
+}
+
+/** Returns an empty board; `dataCentre` is the instance's own. */
+export function createServerBoard(dataCentre: string): ServerBoard {
+  let entries = new Map<string, ServerEntry>();
+  const peerLoads = new Map<string, ReadonlyMap<string, number>>();
+
+  function isUsable(now: number, entry: ServerEntry): boolean {
+    return entry.server.state === ServerState.Ready && entry.ejectedUntil <= now;
+  }
+
+  function applyPeerLoads(entry: ServerEntry): void {
+    entry.peerRunning.clear();
+    for (const [peer, load] of peerLoads) {
+      const running = load.get(entry.server.id);
+      if (running) entry.peerRunning.set(peer, running);
+    }
+  }
+
+  function computeMean(service: string, estimate: (entry: ServerEntry) => number): number {
+    const listed = [...entries.values()].filter(({ server }) => server.service === service);
+    const sum = listed.reduce((total, entry) => total + estimate(entry), 0);
+    return listed.length > 0 ? sum / listed.length : 0;
+  }
+
+  return {
+    setServers(servers) {
+      const next = new Map<string, ServerEntry>();
+      for (const server of servers) {
+        const known = entries.get(server.id);
+        const isSame =
+          known?.server.bornAt === server.bornAt && known.server.address === server.address;
+        const entry = isSame ? known : createServerEntry(server);
+        entry.server = server;
+        applyPeerLoads(entry);
+        next.set(server.id, entry);
+      }
+      entries = next;
+    },
+    choose(now, service, work, tried) {
+      let best: { entry: ServerEntry; finishMs: number; cost: number } | undefined;
+      let usable = 0;
+      for (const entry of entries.values()) {
+        const { server } = entry;
+        if (server.service === service && isUsable(now, entry) && !tried.has(server.id)) {
+          usable += 1;
+          if (countHeld(entry) < server.slots + AHEAD) {
+            const finishMs = estimateFinishMs(entry, work);
+            const cost = finishMs + computePenaltyMs(entry, dataCentre);
+            if (!best || cost < best.cost) best = { entry, finishMs, cost };
+          }
+        }
+      }
+      if (best) return { kind: 'server', entry: best.entry, finishMs: best.finishMs };
+      return { kind: usable > 0 ? 'full' : 'none' };
+    },
+    addRun(entry, work) {
+      entry.running += 1;
+      entry.readingTokens += work.promptTokens;
+    },
+    removeRun(entry) {
+      entry.running -= 1;
+    },
+    dropReading(entry, work) {
+      entry.readingTokens = Math.max(0, entry.readingTokens - work.promptTokens);
+    },
+    recordFirst(entry, work, elapsedMs) {
+      const thousands = (entry.readingTokens + work.promptTokens) / 1_000 + 1;
+      entry.readingMs = follow(entry.readingMs, elapsedMs / thousands, READING_STEP);
+    },
+    recordPace(entry, intervalMs) {
+      entry.paceMs = follow(entry.paceMs, intervalMs, PACE_STEP);
+    },
+    recordWork(entry, elapsedMs) {
+      entry.workMs = follow(entry.workMs, elapsedMs, PACE_STEP);
+    },
+    recordSuccess(entry) {
+      entry.failuresInRow = 0;
+      entry.failureShare += (0 - entry.failureShare) * FAILURE_STEP;
+    },
+    recordFailure(entry) {
+      entry.failuresInRow = 0;
+      entry.failureShare += (1 - entry.failureShare) * FAILURE_STEP;
+    },
+    recordSilence(now, entry) {
+      entry.failuresInRow += 1;
+      entry.failureShare += (1 - entry.failureShare) * FAILURE_STEP;
+      const beyond = entry.failuresInRow - EJECTION_FAILURES;
+      if (beyond < 0) return false;
+      entry.ejectedUntil = now + Math.min(LONGEST_EJECTION_MS, EJECTION_MS * 2 ** beyond);
+      return true;
+    },
+    setPeerLoad(peer, running) {
+      if (running.size === 0) peerLoads.delete(peer);
+      else peerLoads.set(peer, running);
+      for (const entry of entries.values()) {
+        const count = running.get(entry.server.id);
+        if (count) entry.peerRunning.set(peer, count);
+        else entry.peerRunning.delete(peer);
+      }
+    },
+    listRunning() {
+      const running = new Map<string, number>();
+      for (const [id, entry] of entries) if (entry.running > 0) running.set(id, entry.running);
+      return running;
+    },
+    estimateFirstMs: (service, work) =>
+      computeMean(service, (entry) => estimateFirstMs(entry, work)),
+    estimateHoldMs: (service, work) =>
+      computeMean(service, (entry) => estimateFinishMs(entry, work)),
+    countPlaces(now, service) {
+      let places = 0;
+      let used = 0;
+      for (const entry of entries.values()) {
+        if (entry.server.service === service && isUsable(now, entry)) {
+          places += entry.server.slots;
+          used += Math.min(entry.server.slots, countHeld(entry));
+        }
+      }
+      return { places, used };
+    },
+    listServers: () => [...entries.values()],
+  };
+}
+
+/** Returns what is held at a server by all instances, as far as known. */
+export function countHeld(entry: ServerEntry): number {
+  let held = entry.running;
+  for (const running of entry.peerRunning.values()) held += running;
+  return held;
+}
+
+function createServerEntry(server: BackendServer): ServerEntry {
+  return {
+    server,
+    running: 0,
+    readingTokens: 0,
+    peerRunning: new Map(),
+    paceMs: undefined,
+    readingMs: undefined,
+    workMs: undefined,
+    failureShare: 0,
+    failuresInRow: 0,
+    ejectedUntil: 0,
+  };
+}
+
+function estimateFinishMs(entry: ServerEntry, work: PlacedWork): number {
+  const held = countHeld(entry);
+  if (work.events === 0) {
+    const workMs = entry.workMs ?? INITIAL_WORK_MS;
+    const waitMs = Math.max(0, held + 1 - entry.server.slots) * workMs;
+    return workMs + waitMs + (held / entry.server.slots) * workMs * CROWDING;
+  }
+  const firstMs = estimateFirstMs(entry, work);
+  const paceMs = (entry.paceMs ?? INITIAL_PACE_MS) * (1 + held * CROWDING);
+  const waitMs = Math.max(0, held + 1 - entry.server.slots) * paceMs;
+  return firstMs + waitMs + paceMs * work.events;
+}
+
+/** Time to the first event, or to the whole answer of a plain service. */
+function estimateFirstMs(entry: ServerEntry, work: PlacedWork): number {
+  if (work.events === 0) return entry.workMs ?? INITIAL_WORK_MS;
+  const thousands = (entry.readingTokens + work.promptTokens) / 1_000 + 1;
+  return thousands * (entry.readingMs ?? INITIAL_READING_MS);
+}
+
+function computePenaltyMs(entry: ServerEntry, dataCentre: string): number {
+  const distance = entry.server.dataCentre === dataCentre ? 0 : DISTANCE_COST_MS;
+  return entry.failureShare * FAILURE_COST_MS + distance;
+}
+
+function follow(known: number | undefined, observed: number, step: number): number {
+  return known === undefined ? observed : known + (observed - known) * step;
+}
--- a/packages/platform/test/configuration-exchange.test.ts
+++ b/packages/state/test/configuration-exchange.test.ts
@@ -4,8 +4,8 @@
 import {
   createConfigurationExchange,
   type ConfigurationExchange,
-} from '@masticbend/platform/configuration-exchange';
-import { createConfigurationReplica } from '@masticbend/platform/configuration-replica';
+} from '@masticbend/state/configuration-exchange';
+import { createConfigurationReplica } from '@masticbend/state/configuration-replica';
 import type { Message } from '@masticbend/protocol/message';
 import type { Operation } from '@masticbend/settings/document';
 import { updateDocumentDigest } from '@masticbend/settings/document-digest';
--- a/packages/platform/test/configuration-machine.test.ts
+++ b/packages/state/test/configuration-machine.test.ts
@@ -2,12 +2,12 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { createSilentLogger } from '@masticbend/kernel/log';
-import { createConfigurationEditor } from '@masticbend/platform/configuration-editor';
-import { refreshReplica } from '@masticbend/platform/configuration-refresh';
-import { createConfigurationReplica } from '@masticbend/platform/configuration-replica';
-import { createConfigurationStore } from '@masticbend/platform/configuration-store';
-import { createObjectStore } from '@masticbend/platform/object-store';
-import { createTableClient } from '@masticbend/platform/table';
+import { createConfigurationEditor } from '@masticbend/state/configuration-editor';
+import { refreshReplica } from '@masticbend/state/configuration-refresh';
+import { createConfigurationReplica } from '@masticbend/state/configuration-replica';
+import { createConfigurationStore } from '@masticbend/state/configuration-store';
+import { createObjectStore } from '@masticbend/state/object-store';
+import { createTableClient } from '@masticbend/state/table';
 import { checkConfiguration, parseConfiguration } from '@masticbend/settings/configuration';
 import { applyOperations, parseDocument, type Operation } from '@masticbend/settings/document';
 import { computeDocumentDigest } from '@masticbend/settings/document-digest';
--- a/packages/platform/test/configuration-replica.test.ts
+++ b/packages/state/test/configuration-replica.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { createSilentLogger } from '@masticbend/kernel/log';
-import { createConfigurationReplica } from '@masticbend/platform/configuration-replica';
+import { createConfigurationReplica } from '@masticbend/state/configuration-replica';
 import { updateDocumentDigest } from '@masticbend/settings/document-digest';
 import type { Operation } from '@masticbend/settings/document';
 
--- /dev/null
+++ b/scripts/undici-pool.cjs
@@ -0,0 +1,8 @@
+// The part of undici that the bundled programs use: loading the whole package takes three times as
+// much processor time at each start.
+const Dispatcher = require('undici/lib/dispatcher/dispatcher.js');
+const Pool = require('undici/lib/dispatcher/pool.js');
+const request = require('undici/lib/api/api-request.js');
+
+Dispatcher.prototype.request = request;
+module.exports = { Pool };
