--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,6 +21,7 @@
 import { createServerList, type ServerChange } from '@masticbend/scheduling/server-list';
 import { createSharedLimits, type SharedLimits } from '@masticbend/scheduling/shared-limit';
 import { createWaitingLine } from '@masticbend/scheduling/waiting-line';
+import type { AccountLimit, RoutingConfiguration } from '@masticbend/settings/routing';
 import { createBackendClient, type BackendClient } from './backend-client.js';
 import { createConfigurationView, type ConfigurationView } from './configuration-view.js';
 import { createIngress, listen, type Ingress } from './ingress.js';
@@ -78,7 +79,7 @@
 /** Builds an entry. */
 export function createGateway(settings: GatewaySettings): Gateway {
   const incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
-  const log = createLogger({ process: settings.instance, incarnation }, settings.logLevel);
+  const log = createLogger({ process: settings.instance, life: incarnation }, settings.logLevel);
   const clock = createSystemClock();
   const getElapsed = createElapsedTime(clock);
   const kernel = createKernel<GatewayServices>();
@@ -166,6 +167,7 @@
       accounts: configuration.accounts.length,
       keys: view.accounts.size,
     });
+    kernel.find('limits').setLimits(kernel.find('clock').now(), listLimits(configuration));
     kernel.find('ingress').applyLimits();
   }
 
@@ -205,6 +207,10 @@
   };
 }
 
+function listLimits({ accounts }: RoutingConfiguration): Map<string, AccountLimit> {
+  return new Map(accounts.flatMap(({ name, limit }) => (limit ? [[name, limit] as const] : [])));
+}
+
 function createServersService(
   kernel: Kernel<GatewayServices>,
   getElapsed: () => number,
--- a/packages/scheduling/src/shared-limit.ts
+++ b/packages/scheduling/src/shared-limit.ts
@@ -11,6 +11,8 @@
 
 /** Buckets of all accounts. Times are monotonic, in milliseconds. */
 export interface SharedLimits {
+  /** Takes over the accounts' limits in force; buckets of new accounts begin to fill. */
+  setLimits: (now: number, limits: ReadonlyMap<string, AccountLimit>) => void;
   /** Takes units; returns the time after which they may be there when they are not. */
   tryTake: (
     now: number,
@@ -66,6 +68,10 @@
   }
 
   return {
+    setLimits(now, next) {
+      for (const [account, limit] of next) findBucket(now, account, limit);
+      for (const account of buckets.keys()) if (!next.has(account)) buckets.delete(account);
+    },
     tryTake(now, account, limit, units) {
       const bucket = findBucket(now, account, limit);
       // A request larger than the whole bucket passes when the bucket is full, and leaves a debt.
