Refuse what comes on open connections once the balancer has left a stopping entry

Connections whose answer began before the stop carried no 'connection: close' and were never closed.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -130,8 +130,11 @@
   const closeAt = clock.now() + LAME_DUCK_MS;
   ingress.beginStop();
   while (clock.now() < closeAt) await waitFor(STOP_CHECK_MS);
-  ingress.closeIdle();
-  while (requests.countOpen() > 0 && clock.now() < stopAt) await waitFor(STOP_CHECK_MS);
+  ingress.refuseNew();
+  do {
+    ingress.closeIdle();
+    await waitFor(STOP_CHECK_MS);
+  } while (requests.countOpen() > 0 && clock.now() < stopAt);
 }
 
 function waitFor(durationMs: number): Promise<void> {
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -24,6 +24,8 @@
 const CHECK_INTERVAL_MS = 500;
 /** Time by which an unused connection outlives the limit that callers are told, in milliseconds. */
 const IDLE_MARGIN_MS = 1_000;
+/** Advice to callers of a stopping entry, whose next connection goes elsewhere, in milliseconds. */
+const STOPPING_RETRY_MS = 20;
 /** Limits before a configuration is known. */
 const INITIAL_LIMITS: CallerLimits = {
   headerBytes: 16_384,
@@ -48,7 +50,9 @@
   applyLimits: () => void;
   /** Asks callers to leave with their next answer. */
   beginStop: () => void;
-  /** Takes no new connections and closes unused ones. */
+  /** Takes no new connections and refuses what still comes on open ones. */
+  refuseNew: () => void;
+  /** Closes unused connections. */
   closeIdle: () => void;
   countConnections: () => number;
 }
@@ -58,6 +62,7 @@
   const { clock, log, requests } = options;
   const sockets = new Set<Socket>();
   let stopping = false;
+  let refusing = false;
 
   function getLimits(): CallerLimits {
     return options.getLimits() ?? INITIAL_LIMITS;
@@ -65,7 +70,9 @@
 
   function handleRequest(request: IncomingMessage, response: ServerResponse): void {
     if (stopping) response.setHeader('connection', 'close');
-    const fault = checkHead(request, getLimits());
+    const fault = refusing
+      ? { kind: ErrorKind.Stopping, retryAfterMs: STOPPING_RETRY_MS }
+      : checkHead(request, getLimits());
     if (fault) {
       refuse(request, response, fault);
       return;
@@ -125,10 +132,11 @@
     beginStop() {
       stopping = true;
     },
-    closeIdle() {
+    refuseNew() {
+      refusing = true;
       server.close();
-      server.closeIdleConnections();
     },
+    closeIdle: () => server.closeIdleConnections(),
     countConnections: () => sockets.size,
   };
 }
