--- a/packages/entry/src/administration.ts
+++ b/packages/entry/src/administration.ts
@@ -5,10 +5,7 @@
 import type { App, Request, Response } from '@tinyhttp/app';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import type { EditResult, ProposedEdit } from '@masticbend/state/configuration-editor';
-import type {
-  ConfigurationReplica,
-  HeldRevision,
-} from '@masticbend/state/configuration-replica';
+import type { ConfigurationReplica, HeldRevision } from '@masticbend/state/configuration-replica';
 import type { EditRecord } from '@masticbend/state/configuration-store';
 import { createFailureAnswer, ErrorKind, type Failure } from '@masticbend/protocol/error';
 import { checkConfiguration, type Configuration } from '@masticbend/settings/configuration';
--- a/packages/gateway/src/backend-client.ts
+++ b/packages/gateway/src/backend-client.ts
@@ -2,7 +2,7 @@
  * Connections to backend servers and single exchanges over them. An exchange reports whether its
  * request was ever handed to a connection: before that it has certainly not run.
  */
-import { Pool, type Dispatcher } from 'undici';
+import { buildConnector, Pool, type Dispatcher } from 'undici';
 import type { HeaderMap } from '@masticbend/platform/ingress';
 import type { BackendServer } from '@masticbend/settings/routing';
 
@@ -51,9 +51,13 @@
   close: () => Promise<void>;
 }
 
+/** Code given to a connection reset, since undici takes `ECONNRESET` as the end of an answer. */
+const RESET_CODE = 'RESET';
+
 /** Returns a client without connections. */
 export function createBackendClient(): BackendClient {
   const pools = new Map<string, Pool>();
+  const connect = createConnector();
 
   function findPool(server: BackendServer): Pool {
     const key = formatKey(server);
@@ -62,7 +66,7 @@
       pool = new Pool(`http://${server.address}`, {
         connections: CONNECTIONS,
         pipelining: 1,
-        connectTimeout: CONNECT_LIMIT_MS,
+        connect,
         keepAliveTimeout: IDLE_LIMIT_MS,
         keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
         headersTimeout: 0,
@@ -91,6 +95,22 @@
   };
 }
 
+/**
+ * Connects as undici does, but an answer without a length that ends with a reset is a broken one:
+ * undici would take it as whole.
+ */
+function createConnector(): buildConnector.connector {
+  const connect = buildConnector({ timeout: CONNECT_LIMIT_MS });
+  return (options, callback) =>
+    connect(options, (...[error, socket]) => {
+      socket?.prependListener('error', (fault: NodeJS.ErrnoException) => {
+        if (fault.code === 'ECONNRESET') fault.code = RESET_CODE;
+      });
+      if (error) callback(error, null);
+      else callback(null, socket!);
+    });
+}
+
 function startExchange(pool: Pool, request: ExchangeRequest, events: ExchangeEvents): Exchange {
   let controller: Dispatcher.DispatchController | undefined;
   let ended = false;
--- a/packages/gateway/src/delivery.ts
+++ b/packages/gateway/src/delivery.ts
@@ -3,8 +3,17 @@
  * gone. A failure after the answer began can only be shown by breaking the connection.
  */
 import type { ServerResponse } from 'node:http';
-import { formatRetryAfter, selectAnswerHeaders, type HeaderMap } from '@masticbend/platform/ingress';
-import { ANSWERS, createFailureAnswer, RetryAdvice, type Failure } from '@masticbend/protocol/error';
+import {
+  formatRetryAfter,
+  selectAnswerHeaders,
+  type HeaderMap,
+} from '@masticbend/platform/ingress';
+import {
+  ANSWERS,
+  createFailureAnswer,
+  RetryAdvice,
+  type Failure,
+} from '@masticbend/protocol/error';
 
 /** Answer of one request. */
 export interface Delivery {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -72,6 +72,8 @@
   start: () => Promise<void>;
   /** Finishes what callers have sent, within the grace period. */
   stop: () => Promise<void>;
+  /** Ends at once, whatever still runs. */
+  kill: () => Promise<void>;
   dump: () => unknown;
   log: Logger;
 }
@@ -88,8 +90,8 @@
   kernel.provide('clock', () => clock);
   kernel.provide('log', () => log);
   kernel.provide('metrics', () => createMetrics(clock));
-  kernel.provide('store', () => createStore(settings.storeAddress));
-  kernel.provide('client', createBackendClient);
+  kernel.provide('store', () => createStoreService(settings.storeAddress));
+  kernel.provide('client', createClientService);
   kernel.provide('board', () => createServerBoard(settings.dataCentre));
   kernel.provide('limits', createSharedLimits);
   kernel.provide('view', () => createViewService(kernel, settings, getElapsed));
@@ -115,6 +117,7 @@
       await kernel.stop();
       log.info(LogEvent.ProcessStopped, { open });
     },
+    kill: () => kernel.stop(),
     dump: () => kernel.dump(),
   };
 }
@@ -143,6 +146,16 @@
   });
 }
 
+function createStoreService(address: string): Store & Lifecycle {
+  const store = createStore(address);
+  return { ...store, stop: store.close };
+}
+
+function createClientService(): BackendClient & Lifecycle {
+  const client = createBackendClient();
+  return { ...client, stop: client.close };
+}
+
 function createViewService(
   kernel: Kernel<GatewayServices>,
   settings: GatewaySettings,
@@ -158,7 +171,10 @@
     if (!row) return;
     const configuration = decodeConfiguration(row.value);
     if (!configuration) {
-      log.error(LogEvent.ConfigurationRejected, { revision: row.revision, bytes: row.value.length });
+      log.error(LogEvent.ConfigurationRejected, {
+        revision: row.revision,
+        bytes: row.value.length,
+      });
       return;
     }
     if (view && configuration.version <= view.configuration.version) return;
@@ -253,11 +269,10 @@
     );
   }
 
-  function decodeRows(rows: readonly StoreRow[]) {
-    return rows
-      .filter(({ deleted }) => !deleted)
-      .map(({ key, value }) => decodeBackendServer(key, value))
-      .filter((server) => server !== undefined);
+  /** A row that names no usable server is as good as none. */
+  function applyRow({ key, value, deleted }: StoreRow): ServerChange[] {
+    const server = deleted ? undefined : decodeBackendServer(key, value);
+    return server ? list.set(server) : list.remove(getElapsed(), key);
   }
 
   const feed = createTableFeed({
@@ -267,15 +282,12 @@
     getElapsed,
     log,
     events: {
-      onTable: (rows) => applyChanges(list.setAll(getElapsed(), decodeRows(rows))),
-      onChanges(rows) {
-        const removed = rows.filter(({ deleted }) => deleted);
-        const changes = [
-          ...decodeRows(rows).flatMap(list.set),
-          ...removed.flatMap(({ key }) => list.remove(getElapsed(), key)),
-        ];
-        applyChanges(changes);
+      onTable(rows) {
+        const servers = rows.map(({ key, value }) => decodeBackendServer(key, value));
+        const usable = servers.filter((server) => server !== undefined);
+        applyChanges(list.setAll(getElapsed(), usable));
       },
+      onChanges: (rows) => applyChanges(rows.flatMap(applyRow)),
       onRestored: () => list.recordReturn(getElapsed()),
     },
   });
@@ -428,7 +440,10 @@
       await listen(operators, operator.host, operator.port);
     },
     stop() {
-      for (const server of servers) server.close();
+      for (const server of servers) {
+        server.close();
+        server.closeAllConnections();
+      }
     },
   };
 }
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -55,6 +55,8 @@
   /** Closes unused connections. */
   closeIdle: () => void;
   countConnections: () => number;
+  /** Cuts whatever is still open. */
+  stop: () => void;
 }
 
 /** Returns a server that does not listen yet. */
@@ -138,6 +140,10 @@
     },
     closeIdle: () => server.closeIdleConnections(),
     countConnections: () => sockets.size,
+    stop() {
+      server.close();
+      server.closeAllConnections();
+    },
   };
 }
 
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -129,10 +129,7 @@
   let next = 1;
   let stopExpiry = clock.startTimer(EXPIRY_CHECK_MS, checkExpiry);
 
-  function accept(
-    incoming: IncomingRequest,
-    connect: (onAbandoned: () => void) => Delivery,
-  ): void {
+  function accept(incoming: IncomingRequest, connect: (onAbandoned: () => void) => Delivery): void {
     const view = options.getView();
     let state: RequestState | undefined;
     const delivery = connect(() => state && abandon(state));
@@ -591,11 +588,7 @@
   };
 }
 
-function describeWork(
-  route: GatewayRoute,
-  facts: CallerFacts,
-  tokensPerEvent: number,
-): PlacedWork {
+function describeWork(route: GatewayRoute, facts: CallerFacts, tokensPerEvent: number): PlacedWork {
   if (!route.streamed) return { promptTokens: 0, events: 0 };
   const most = facts.outputTokens ?? 0;
   const tokens = facts.expectedTokens ?? most * EXPECTED_OUTPUT_PART;
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -108,7 +108,9 @@
 ): string[] {
   const unknown = Object.keys(found)
     .filter((name) => !Object.hasOwn(checks, name))
-    .map((name) => `${prefix}${name}: unknown key, expected one of ${Object.keys(checks).join(', ')}`);
+    .map(
+      (name) => `${prefix}${name}: unknown key, expected one of ${Object.keys(checks).join(', ')}`,
+    );
   const wrong = Object.entries(checks).flatMap(([name, check]) => {
     const fault = check(found[name]);
     return fault === undefined ? [] : [`${prefix}${name}: ${fault}`];
--- /dev/null
+++ b/packages/gateway/test/backend.ts
@@ -0,0 +1,110 @@
+/** Scripted backend server: answers each request with whatever bytes a test wants. */
+import { createServer, type AddressInfo, type Socket } from 'node:net';
+
+/** A request as it arrived. */
+export interface Arrival {
+  line: string;
+  headers: Record<string, string>;
+  body: string;
+  socket: Socket;
+  /** Set once the connection is closed. */
+  closed: boolean;
+}
+
+/** Answers one arrival. */
+export type Script = (arrival: Arrival, index: number) => void;
+
+/** A running backend server. */
+export interface ScriptedBackend {
+  address: string;
+  arrivals: Arrival[];
+  script: Script;
+  close: () => Promise<void>;
+}
+
+export async function startBackend(script: Script): Promise<ScriptedBackend> {
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => {
+    let text = '';
+    sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.on('close', () => sockets.delete(socket));
+    socket.on('data', (piece) => {
+      text += piece.toString('latin1');
+      for (let arrival = parseRequest(text, socket); arrival;) {
+        text = text.slice(arrival.bytes);
+        const current = arrival.request;
+        socket.on('close', () => {
+          current.closed = true;
+        });
+        backend.arrivals.push(current);
+        backend.script(current, backend.arrivals.length - 1);
+        arrival = parseRequest(text, socket);
+      }
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const backend: ScriptedBackend = {
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    arrivals: [],
+    script,
+    close() {
+      for (const socket of sockets) socket.destroy();
+      return new Promise((resolve) => {
+        server.close(() => resolve());
+      });
+    },
+  };
+  return backend;
+}
+
+/** Returns a whole answer with the backend server's signature. */
+export function formatAnswer(status: number, body: string, headers: string[] = []): string {
+  const lines = [
+    `HTTP/1.1 ${status} Any`,
+    'X-Masticbend-Server-Stamp: stamp',
+    `Content-Length: ${body.length}`,
+    ...headers,
+  ];
+  return `${lines.join('\r\n')}\r\n\r\n${body}`;
+}
+
+/** Returns the head of a chunked stream of events. */
+export function formatStreamHead(headers: string[] = []): string {
+  const lines = [
+    'HTTP/1.1 200 OK',
+    'X-Masticbend-Server-Stamp: stamp',
+    'Content-Type: text/event-stream',
+    'Transfer-Encoding: chunked',
+    ...headers,
+  ];
+  return `${lines.join('\r\n')}\r\n\r\n`;
+}
+
+export function formatChunk(text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
+export function formatEvent(id: number): string {
+  return `id: ${id}\ndata: event ${id}\n\n`;
+}
+
+export const LAST_CHUNK = '0\r\n\r\n';
+
+function parseRequest(text: string, socket: Socket) {
+  const headEnd = text.indexOf('\r\n\r\n');
+  if (headEnd < 0) return undefined;
+  const [line = '', ...lines] = text.slice(0, headEnd).split('\r\n');
+  const headers: Record<string, string> = {};
+  for (const each of lines) {
+    const colon = each.indexOf(':');
+    headers[each.slice(0, colon).toLowerCase()] = each.slice(colon + 1).trim();
+  }
+  const bodyBytes = Number(headers['content-length'] ?? 0);
+  const bytes = headEnd + 4 + bodyBytes;
+  if (text.length < bytes) return undefined;
+  const body = text.slice(headEnd + 4, bytes);
+  return { bytes, request: { line, headers, body, socket, closed: false } };
+}
--- /dev/null
+++ b/packages/gateway/test/beliefs.test.ts
@@ -0,0 +1,115 @@
+/** Configuration, keys, servers and stopping, as callers and backend servers see them. */
+import { expect } from 'chai';
+import { Agent, request as send } from 'undici';
+import { formatAnswer, type Script } from './backend.js';
+import { HOST, KEY, pause, startDeployment, waitUntil, type Deployment } from './harness.js';
+
+/** Bounds that the settings of the test, or the operators, promise, in milliseconds. */
+const CONFIGURATION_LIMIT_MS = 2_000;
+const LEAVING_LIMIT_MS = 2_000;
+const KEY_LIMIT_MS = 2_500;
+
+const answerWell: Script = ({ socket }) => socket.write(formatAnswer(200, 'done'));
+
+describe('beliefs of an entry', () => {
+  let deployment: Deployment;
+
+  async function start(...scripts: Script[]): Promise<void> {
+    deployment = await startDeployment(scripts);
+  }
+
+  async function callStatus(path: string, headers: Record<string, string> = {}): Promise<number> {
+    return (await deployment.call(path, { headers })).status;
+  }
+
+  afterEach(() => deployment.close());
+
+  it('take a new configuration in time, and never go back', async () => {
+    await start(answerWell);
+    const route = {
+      name: 'new',
+      host: HOST,
+      prefix: '/new/',
+      route_kind: 'idempotent',
+      service: 'plain',
+      anonymous: true,
+    };
+    deployment.putConfiguration({ version: 9, routes: [route] });
+    const changedAt = performance.now();
+    await waitUntil(async () => (await callStatus('/new/a')) === 200);
+    expect(performance.now() - changedAt).to.be.below(CONFIGURATION_LIMIT_MS);
+    expect(await callStatus('/once/a')).to.equal(404);
+    deployment.putConfiguration({ version: 8 });
+    await pause(600);
+    expect(await callStatus('/once/a')).to.equal(404);
+  });
+
+  it('read the whole table again when the history is lost', async () => {
+    await start(answerWell);
+    deployment.store.faults.dropHistory = true;
+    await pause(300);
+    deployment.putConfiguration({ version: 9, routes: [] });
+    const changedAt = performance.now();
+    await waitUntil(async () => (await callStatus('/once/a')) === 404);
+    expect(performance.now() - changedAt).to.be.below(CONFIGURATION_LIMIT_MS);
+  });
+
+  it('refuse requests with a key as not run once the keys are too old', async () => {
+    await start(answerWell);
+    deployment.store.faults.silent = true;
+    const lostAt = performance.now();
+    await waitUntil(async () => (await callStatus('/once/a')) === 503);
+    expect(performance.now() - lostAt).to.be.below(KEY_LIMIT_MS + 200);
+    expect(await callStatus('/open/a')).to.equal(200);
+    const { headers } = await deployment.call('/once/a');
+    expect(Number(headers['retry-after'])).to.be.above(0);
+    deployment.store.faults.silent = false;
+    await waitUntil(async () => (await callStatus('/once/a')) === 200);
+  });
+
+  it('send nothing new to a server that leaves', async () => {
+    await start(answerWell, answerWell);
+    deployment.putServer(0, { state: 'draining' });
+    await pause(LEAVING_LIMIT_MS / 2);
+    const before = deployment.backends[0]!.arrivals.length;
+    for (let count = 0; count < 10; count += 1) await callStatus('/once/a');
+    expect(deployment.backends[0]!.arrivals.length).to.equal(before);
+    expect(deployment.backends[1]!.arrivals.length).to.equal(10);
+  });
+
+  it('send nothing to a server whose registration was removed or is odd', async () => {
+    await start(answerWell, answerWell);
+    deployment.store.remove('servers', 'i-0');
+    deployment.putServer(1, { slots: 'many' });
+    await waitUntil(async () => (await callStatus('/once/a')) === 503);
+    expect((await deployment.call('/once/a')).headers).to.have.property('retry-after');
+  });
+
+  it('when told to stop: serve on, then refuse as not run, then be gone', async () => {
+    await start(({ socket }) => {
+      setTimeout(() => socket.write(formatAnswer(200, 'done')), 300);
+    });
+    const agent = new Agent({ connections: 1 });
+    const callKept = async () => {
+      const { statusCode, body, headers } = await send(
+        `http://${deployment.settings.callerAddress}/once/a`,
+        {
+          dispatcher: agent,
+          method: 'POST',
+          headers: { host: HOST, 'x-masticbend-key': KEY, 'x-masticbend-attempt-id': 'a1' },
+        },
+      );
+      return { status: statusCode, text: await body.text(), connection: headers.connection };
+    };
+    const open = callKept();
+    await pause(50);
+    const stopped = deployment.gateway.stop();
+    expect((await open).status).to.equal(200);
+    const ready = await send(`http://${deployment.settings.readinessAddress}/v1/readyz`);
+    expect(ready.statusCode).to.equal(503);
+    expect(await callKept()).to.include({ status: 200, connection: 'close' });
+    await stopped;
+    const refused = await callKept().catch((error: NodeJS.ErrnoException) => error.code);
+    expect(refused).to.equal('ECONNREFUSED');
+  });
+});
--- /dev/null
+++ b/packages/gateway/test/harness.ts
@@ -0,0 +1,208 @@
+/** One entry with a store stand-in and scripted backend servers, all on loopback. */
+import { createServer, type AddressInfo } from 'node:net';
+import { request as send } from 'undici';
+import { startStoreStandIn, type StoreStandIn } from '../../../platform/test/store-standin.js';
+import { createGateway, type Gateway } from '../src/gateway.js';
+import type { GatewaySettings } from '../src/settings.js';
+import { startBackend, type Script, type ScriptedBackend } from './backend.js';
+
+const WAIT_LIMIT_MS = 5_000;
+const WAIT_CHECK_MS = 5;
+
+export const HOST = 'desk.example';
+export const KEY = 'key-1';
+
+const ROUTE = {
+  host: HOST,
+  timeout_ms: 2_000,
+  slo_ms: 300,
+  priority: 1,
+  service: 'plain',
+  max_attempts: 1,
+  anonymous: false,
+  gap_slo_ms: 250,
+};
+
+const DOCUMENT = {
+  version: 3,
+  routes: [
+    { ...ROUTE, name: 'once', prefix: '/once/', route_kind: 'non_idempotent' },
+    { ...ROUTE, name: 'again', prefix: '/again/', route_kind: 'idempotent', max_attempts: 2 },
+    { ...ROUTE, name: 'open', prefix: '/open/', route_kind: 'idempotent', anonymous: true },
+    { ...ROUTE, name: 'short', prefix: '/short/', route_kind: 'non_idempotent', timeout_ms: 300 },
+    { ...ROUTE, name: 'stream', prefix: '/stream/', route_kind: 'streaming' },
+    {
+      ...ROUTE,
+      name: 'resume',
+      prefix: '/resume/',
+      route_kind: 'streaming',
+      resumable: true,
+      max_attempts: 2,
+    },
+  ],
+  services: [{ name: 'plain', health_path: '/healthz', max_conns: 100 }],
+  limits: {
+    max_header_bytes: 16_384,
+    max_body_bytes: 100_000,
+    header_timeout_ms: 3_000,
+    idle_timeout_ms: 15_000,
+  },
+  tenants: [{ name: 'bakery', api_keys: [KEY], priority: 1, rate_per_s: 0 }],
+};
+
+/** A small deployment. */
+export interface Deployment {
+  store: StoreStandIn;
+  backends: ScriptedBackend[];
+  gateway: Gateway;
+  settings: GatewaySettings;
+  /** Writes a configuration with changes to the document above. */
+  putConfiguration: (changes: object) => void;
+  putServer: (index: number, changes?: object) => void;
+  call: (path: string, options?: CallOptions) => Promise<Reply>;
+  /** Waits until requests with a key are served. */
+  waitUntilServing: () => Promise<void>;
+  close: () => Promise<void>;
+}
+
+export interface CallOptions {
+  method?: string;
+  headers?: Record<string, string>;
+  body?: string;
+  signal?: AbortSignal;
+}
+
+export interface Reply {
+  status: number;
+  headers: Record<string, string | string[] | undefined>;
+  body: string;
+  /** Set when the answer broke off. */
+  broken?: boolean;
+}
+
+export async function startDeployment(scripts: Script[]): Promise<Deployment> {
+  const store = await startStoreStandIn();
+  const backends = await Promise.all(scripts.map(startBackend));
+  const settings = await createSettings(store.address);
+  const gateway = createGateway(settings);
+
+  function putServer(index: number, changes: object = {}): void {
+    store.put('servers', `i-${index}`, {
+      service: 'plain',
+      address: backends[index]!.address,
+      zone: 'z1',
+      slots: 4,
+      state: 'ready',
+      cold_left_ms: 0,
+      born: 1,
+      ...changes,
+    });
+  }
+
+  async function call(path: string, options: CallOptions = {}): Promise<Reply> {
+    const { statusCode, headers, body } = await send(`http://${settings.callerAddress}${path}`, {
+      method: (options.method ?? 'POST') as 'POST',
+      headers: {
+        host: HOST,
+        'x-masticbend-key': KEY,
+        'x-masticbend-attempt-id': 'a1',
+        'x-masticbend-deadline-ms': '1500',
+        ...options.headers,
+      },
+      body: options.body,
+      signal: options.signal,
+    });
+    const pieces: Buffer[] = [];
+    try {
+      for await (const piece of body) pieces.push(piece as Buffer);
+    } catch {
+      return { status: statusCode, headers, body: Buffer.concat(pieces).toString(), broken: true };
+    }
+    return { status: statusCode, headers, body: Buffer.concat(pieces).toString() };
+  }
+
+  const deployment: Deployment = {
+    store,
+    backends,
+    gateway,
+    settings,
+    putConfiguration: (changes) => store.put('op', 'config', { ...DOCUMENT, ...changes }),
+    putServer,
+    call,
+    waitUntilServing: () =>
+      waitUntil(async () => {
+        const { statusCode, body } = await send(`http://${settings.readinessAddress}/v1/readyz`);
+        await body.dump();
+        return statusCode === 200 && store.has('entries', settings.instance);
+      }),
+    async close() {
+      await gateway.kill();
+      await Promise.all(backends.map((backend) => backend.close()));
+      await store.close();
+    },
+  };
+  deployment.putConfiguration({});
+  backends.forEach((_backend, index) => putServer(index));
+  await gateway.start();
+  await deployment.waitUntilServing();
+  return deployment;
+}
+
+export async function waitUntil(check: () => boolean | Promise<boolean>): Promise<void> {
+  const end = performance.now() + WAIT_LIMIT_MS;
+  while (!(await check())) {
+    if (performance.now() > end) throw new Error(`not true within ${WAIT_LIMIT_MS} ms`);
+    await pause(WAIT_CHECK_MS);
+  }
+}
+
+export function pause(durationMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+}
+
+async function createSettings(storeAddress: string): Promise<GatewaySettings> {
+  const ports = await findFreePorts(4);
+  const [callerAddress, readinessAddress, meshAddress, metricsAddress] = ports.map(
+    (port) => `127.0.0.1:${port}`,
+  ) as [string, string, string, string];
+  return {
+    instance: `entry-${ports[0]}`,
+    dataCentre: 'z1',
+    callerAddress,
+    readinessAddress,
+    meshAddress,
+    metricsAddress,
+    storeAddress,
+    logLevel: 'silent',
+    bounds: {
+      graceS: 6,
+      keyFreshnessMs: 2_500,
+      repeatRatio: 0.2,
+      repeatSlack: 60,
+      repeatWindowS: 10,
+    },
+  };
+}
+
+async function findFreePorts(count: number): Promise<number[]> {
+  const servers = Array.from({ length: count }, () => createServer());
+  const ports = await Promise.all(
+    servers.map(
+      (server) =>
+        new Promise<number>((resolve) => {
+          server.listen(0, '127.0.0.1', () => resolve((server.address() as AddressInfo).port));
+        }),
+    ),
+  );
+  await Promise.all(
+    servers.map(
+      (server) =>
+        new Promise((resolve) => {
+          server.close(resolve);
+        }),
+    ),
+  );
+  return ports;
+}
--- a/packages/scheduling/src/server-board.ts
+++ b/packages/scheduling/src/server-board.ts
@@ -64,12 +64,7 @@
 export interface ServerBoard {
   /** Brings the board in line with the list; entries of the same incarnation keep their state. */
   setServers: (servers: readonly BackendServer[]) => void;
-  choose: (
-    now: number,
-    service: string,
-    work: PlacedWork,
-    tried: ReadonlySet<string>,
-  ) => Choice;
+  choose: (now: number, service: string, work: PlacedWork, tried: ReadonlySet<string>) => Choice;
   addRun: (entry: ServerEntry, work: PlacedWork) => void;
   removeRun: (entry: ServerEntry) => void;
   recordFirst: (entry: ServerEntry, work: PlacedWork, elapsedMs: number) => void;
--- a/packages/scheduling/src/shared-limit.ts
+++ b/packages/scheduling/src/shared-limit.ts
@@ -14,12 +14,7 @@
   /** Takes over the accounts' limits in force; buckets of new accounts begin to fill. */
   setLimits: (now: number, limits: ReadonlyMap<string, AccountLimit>) => void;
   /** Takes units; returns the time after which they may be there when they are not. */
-  tryTake: (
-    now: number,
-    account: string,
-    limit: AccountLimit,
-    units: number,
-  ) => number | undefined;
+  tryTake: (now: number, account: string, limit: AccountLimit, units: number) => number | undefined;
   /** Gives back the units of a request that did not run. */
   refund: (now: number, account: string, units: number) => void;
   /** Takes what peers admitted. */
--- a/packages/scheduling/src/waiting-line.ts
+++ b/packages/scheduling/src/waiting-line.ts
@@ -92,7 +92,7 @@
     expire(now) {
       const expired: string[] = [];
       for (const queue of queues.values()) {
-        for (let late = queue.getMostUrgent(); late && late.startBy <= now; ) {
+        for (let late = queue.getMostUrgent(); late && late.startBy <= now;) {
           queue.remove(late.request);
           expired.push(late.request);
           late = queue.getMostUrgent();
--- /dev/null
+++ b/packages/scheduling/test/server-list.test.ts
@@ -0,0 +1,60 @@
+import { expect } from 'chai';
+import { ServerState, type BackendServer } from '@masticbend/settings/routing';
+import { createServerList, RETURN_LIMIT_MS } from '../src/server-list.js';
+
+function createServer(id: string, changes: Partial<BackendServer> = {}): BackendServer {
+  return {
+    id,
+    bornAt: 1,
+    service: 'engine',
+    address: `10.0.0.${id}:80`,
+    dataCentre: 'ota',
+    slots: 11,
+    state: ServerState.Ready,
+    coldMs: 0,
+    ...changes,
+  };
+}
+
+describe('server list', () => {
+  it('tells what changed about a server', () => {
+    const list = createServerList();
+    const changes = [
+      list.set(createServer('1')),
+      list.set(createServer('1')),
+      list.set(createServer('1', { state: ServerState.Leaving })),
+      list.set(createServer('1', { bornAt: 2 })),
+      list.remove(0, '1'),
+      list.remove(0, '1'),
+    ];
+    expect(changes.map((each) => each.map(({ change }) => change))).to.deep.equal([
+      ['seen'],
+      [],
+      ['leaving'],
+      ['restarted'],
+      ['gone'],
+      [],
+    ]);
+  });
+
+  it('keeps servers whose registration lapsed in an outage until they could return', () => {
+    const list = createServerList();
+    list.setAll(0, [createServer('1'), createServer('2')]);
+    list.recordReturn(10_000);
+    expect(list.setAll(10_000, [])).to.deep.equal([]);
+    expect(list.list()).to.have.length(2);
+    list.set(createServer('1'));
+    expect(list.findNextExpiry()).to.equal(10_000 + RETURN_LIMIT_MS);
+    const [gone] = list.expire(10_000 + RETURN_LIMIT_MS);
+    expect(gone).to.include({ change: 'gone' });
+    expect(list.list().map(({ id }) => id)).to.deep.equal(['1']);
+  });
+
+  it('takes a server that says it leaves as leaving also after an outage', () => {
+    const list = createServerList();
+    list.setAll(0, [createServer('1')]);
+    list.recordReturn(10_000);
+    const changes = list.setAll(10_000, [createServer('1', { state: ServerState.Leaving })]);
+    expect(changes.map(({ change }) => change)).to.deep.equal(['leaving']);
+  });
+});
