--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -28,7 +28,7 @@
 };
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**', 'reports/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'reports/**', 'target/**', 'journal/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -24,7 +24,8 @@
 import { createRetryBudget, type RetryBudget } from '@masticbend/scheduling/retry-budget';
 import { createRouter, type Router } from '@masticbend/scheduling/router';
 import type { Configuration } from '@masticbend/settings/configuration';
-import { parseAddress, type EntrySettings } from '@masticbend/settings/process-settings';
+import { parseAddress } from '@masticbend/settings/address';
+import { type EntrySettings } from '@masticbend/settings/process-settings';
 import { createAccountLimits, type AccountLimits } from './account-limits.js';
 import { addAdministrationRoutes } from './administration.js';
 import { CALLER_TIMEOUTS, createCallerServer } from './caller-server.js';
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -97,14 +97,14 @@
     events.onResult(result);
   }
 
-  function breakOff(reason: string): void {
+  function failAttempt(reason: string): void {
     finish({ kind: 'broken', reason, lastEventId });
   }
 
-  function restartSilence(): void {
+  function startSilenceTimer(): void {
     stopSilence();
     if (request.silenceMs > 0) {
-      stopSilence = clock.startTimer(request.silenceMs, () => breakOff('silent'));
+      stopSilence = clock.startTimer(request.silenceMs, () => failAttempt('silent'));
     }
   }
 
@@ -113,11 +113,11 @@
   }
 
   function handleHead(status: number, headers: HeaderMap): void {
-    restartSilence();
-    if (!isAnswerTo(request.requestId, headers)) breakOff('answer to another request');
+    startSilenceTimer();
+    if (!isAnswerTo(request.requestId, headers)) failAttempt('answer to another request');
     else if (isNotRun(status, headers)) finish({ kind: 'not-run', status });
-    else if (status < 300 && !isSigned(headers)) breakOff('answer without a signature');
-    else if (isEncoded(headers)) breakOff('answer with an encoding');
+    else if (status < 300 && !isSigned(headers)) failAttempt('answer without a signature');
+    else if (isEncoded(headers)) failAttempt('answer with an encoding');
     else head = { status, headers };
   }
 
@@ -135,22 +135,22 @@
     lastAt = now;
     lastEventId = whole.lastId ?? lastEventId;
     if (!delivery.hasBegun()) delivery.begin(head!.status, head!.headers);
-    pass(whole.bytes);
+    relay(whole.bytes);
   }
 
-  function pass(bytes: Buffer): void {
+  function relay(bytes: Buffer): void {
     if (delivery.write(bytes)) return;
     exchange?.pause();
     stopSilence();
     delivery.onDrain(() => {
       exchange?.resume();
-      if (!over) restartSilence();
+      if (!over) startSilenceTimer();
     });
   }
 
   function handleData(bytes: Buffer): void {
     if (over || !head) return;
-    restartSilence();
+    startSilenceTimer();
     if (isStream()) {
       handleEvents(bytes);
       return;
@@ -158,7 +158,7 @@
     recordFirst();
     lastAt = clock.now();
     if (passing) {
-      pass(bytes);
+      relay(bytes);
       return;
     }
     kept.push(bytes);
@@ -166,14 +166,14 @@
     if (keptBytes <= KEPT_BYTES) return;
     passing = true;
     delivery.begin(head.status, head.headers);
-    pass(Buffer.concat(kept));
+    relay(Buffer.concat(kept));
     kept = [];
   }
 
   function handleEnd(): void {
     if (over) return;
     if (!head) {
-      breakOff('end without a head');
+      failAttempt('end without a head');
       return;
     }
     if (isStream()) {
@@ -205,7 +205,7 @@
     {
       onSent() {
         sentAt = clock.now();
-        restartSilence();
+        startSilenceTimer();
         events.onSent();
       },
       onHead: handleHead,
@@ -214,7 +214,7 @@
       onError(error) {
         const reason = error.code ?? error.message;
         if (sentAt === undefined) finish({ kind: 'unsent', reason });
-        else breakOff(reason);
+        else failAttempt(reason);
       },
     },
   );
--- a/packages/gateway/src/backend-client.ts
+++ b/packages/gateway/src/backend-client.ts
@@ -6,9 +6,9 @@
 import type { HeaderMap } from '@masticbend/platform/ingress';
 import type { BackendServer } from '@masticbend/settings/routing';
 
-/** Longest wait for a connection, in milliseconds; many times the round trip between data centres. */
+/** Longest wait for a connection, in milliseconds: many round trips between data centres. */
 const CONNECT_LIMIT_MS = 400;
-/** Time after which an unused connection is closed, in milliseconds, unless the server says less. */
+/** Time after which an unused connection is closed, in milliseconds; a server may say less. */
 const IDLE_LIMIT_MS = 4_000;
 /** Time before the server's own idle limit at which a connection is no longer used. */
 const IDLE_MARGIN_MS = 1_000;
@@ -107,7 +107,7 @@
         if (fault.code === 'ECONNRESET') fault.code = RESET_CODE;
       });
       if (error) callback(error, null);
-      else callback(null, socket!);
+      else callback(null, socket);
     });
 }
 
@@ -116,7 +116,7 @@
   let ended = false;
   let paused = false;
 
-  const options = { ...request, method: request.method as Dispatcher.HttpMethod };
+  const options = { ...request, method: request.method };
   pool.dispatch(options, {
     onRequestStart(started) {
       controller = started;
--- a/packages/gateway/src/delivery.ts
+++ b/packages/gateway/src/delivery.ts
@@ -45,25 +45,25 @@
   // The close event that follows says all there is to know.
   response.on('error', () => undefined);
 
-  function begin(status: number, headers: HeaderMap): void {
+  function startAnswer(status: number, headers: HeaderMap): void {
     begun = true;
     response.writeHead(status, selectAnswerHeaders(headers));
   }
 
-  function end(): void {
+  function finishAnswer(): void {
     closed = true;
     response.end();
   }
 
   return {
-    begin,
+    begin: startAnswer,
     write: (bytes) => response.write(bytes),
     onDrain: (resume) => response.once('drain', resume),
-    end,
+    end: finishAnswer,
     answer(status, headers, body) {
-      begin(status, { ...headers, 'content-length': String(body.length) });
+      startAnswer(status, { ...headers, 'content-length': String(body.length) });
       response.write(body);
-      end();
+      finishAnswer();
     },
     fail(failure) {
       if (closed) return;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -22,13 +22,14 @@
 import { createSharedLimits, type SharedLimits } from '@masticbend/scheduling/shared-limit';
 import { createWaitingLine } from '@masticbend/scheduling/waiting-line';
 import type { AccountLimit, RoutingConfiguration } from '@masticbend/settings/routing';
+import { parseAddress } from '@masticbend/settings/address';
 import { createBackendClient, type BackendClient } from './backend-client.js';
 import { createConfigurationView, type ConfigurationView } from './configuration-view.js';
-import { createIngress, listen, type Ingress } from './ingress.js';
+import { createIngress, startServer, type Ingress } from './ingress.js';
 import { createMembers, type Members } from './members.js';
 import { createPeerMesh, type PeerMesh } from './peer-mesh.js';
 import { createRequests, type Requests } from './requests.js';
-import { splitAddress, type GatewaySettings } from './settings.js';
+import type { GatewaySettings } from './settings.js';
 import { createTableFeed, type TableFeed } from './table-feed.js';
 
 /** Part of the allowed age of keys that is used; the rest covers the way of a request. */
@@ -112,7 +113,7 @@
       const stopAt = clock.now() + settings.bounds.graceS * 1_000 * GRACE_PART;
       log.info(LogEvent.ProcessStopping, { open: kernel.find('requests').countOpen() });
       state.stopping = true;
-      await drainCallers(kernel, clock, stopAt);
+      await finishCallers(kernel, clock, stopAt);
       const open = kernel.find('requests').countOpen();
       await kernel.stop();
       log.info(LogEvent.ProcessStopped, { open });
@@ -123,7 +124,7 @@
 }
 
 /** Serves on until the balancer sends no more callers, then until the last one is answered. */
-async function drainCallers(
+async function finishCallers(
   kernel: Kernel<GatewayServices>,
   clock: Clock,
   stopAt: number,
@@ -204,7 +205,7 @@
     return confirmedAt === undefined ? Infinity : getElapsed() - confirmedAt;
   }
 
-  function areKeysFresh(): boolean {
+  function checkKeys(): boolean {
     const isFresh =
       getAgeMs() < keyFreshnessMs * FRESHNESS_PART && kernel.find('members').isLeaseHeld();
     if (isFresh !== wereFresh) {
@@ -219,7 +220,7 @@
     start: feed.start,
     stop: feed.stop,
     getView: () => view,
-    areKeysFresh,
+    areKeysFresh: checkKeys,
     isRecent: () => getAgeMs() < keyFreshnessMs * READINESS_PART,
     getAgeMs,
     dump: () => ({ version: view?.configuration.version, revision: feed.getRevision() }),
@@ -240,6 +241,7 @@
   const client = kernel.find('client');
   const list = createServerList();
   let stopExpiry = () => {};
+  let getRevision = () => 0;
 
   function applyChanges(changes: ServerChange[]): void {
     for (const { server, change } of changes) {
@@ -250,7 +252,7 @@
         born: server.bornAt,
         state: server.state,
         change,
-        revision: feed.getRevision(),
+        revision: getRevision(),
       });
     }
     const servers = list.list();
@@ -291,6 +293,7 @@
       onRestored: () => list.recordReturn(getElapsed()),
     },
   });
+  getRevision = feed.getRevision;
   return { ...feed, dump: () => board.listServers().map(({ server }) => server) };
 }
 
@@ -354,8 +357,8 @@
   let share = 0;
 
   /** The part of all entries that this one hears, itself included. */
-  function updateShare(): void {
-    const heard = mesh.countHeard() + 1;
+  function updateShare(heardPeers: number): void {
+    const heard = heardPeers + 1;
     const all = Math.max(heard, members.listOthers().length + 1);
     const next = members.isLeaseHeld() ? heard / all : 0;
     if (next === share) return;
@@ -434,10 +437,10 @@
         else response.end(metrics.render());
       });
       servers.push(readiness, operators);
-      const ready = splitAddress(settings.readinessAddress);
-      const operator = splitAddress(settings.metricsAddress);
-      await listen(readiness, ready.host, ready.port);
-      await listen(operators, operator.host, operator.port);
+      const ready = parseAddress(settings.readinessAddress);
+      const operator = parseAddress(settings.metricsAddress);
+      await startServer(readiness, ready.host, ready.port);
+      await startServer(operators, operator.host, operator.port);
     },
     stop() {
       for (const server of servers) {
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -10,9 +10,9 @@
 import { readCallerFacts } from '@masticbend/platform/ingress';
 import { ErrorKind, type Failure } from '@masticbend/protocol/error';
 import type { CallerLimits } from '@masticbend/settings/routing';
+import { parseAddress } from '@masticbend/settings/address';
 import { createDelivery } from './delivery.js';
 import type { Requests } from './requests.js';
-import { splitAddress } from './settings.js';
 
 /** Bytes of a head that the parser takes, whatever the configuration says. */
 const PARSER_HEADER_BYTES = 64 * 1024;
@@ -126,9 +126,9 @@
 
   return {
     start() {
-      const { host, port } = splitAddress(options.address);
+      const { host, port } = parseAddress(options.address);
       applyLimits(server, getLimits());
-      return listen(server, host, port);
+      return startServer(server, host, port);
     },
     applyLimits: () => applyLimits(server, getLimits()),
     beginStop() {
@@ -148,7 +148,7 @@
 }
 
 /** Resolves once a server listens. */
-export function listen(server: Server, host: string, port: number): Promise<void> {
+export function startServer(server: Server, host: string, port: number): Promise<void> {
   return new Promise((resolve, reject) => {
     server.once('error', reject);
     server.listen(port, host, () => {
@@ -175,7 +175,7 @@
   return undefined;
 }
 
-/** Reads a body whole; hands over nothing when it exceeds the limit, and never when it broke off. */
+/** Reads a body whole; hands over nothing when it is too long, and never when it broke off. */
 function readBody(
   request: IncomingMessage,
   limit: number,
--- a/packages/gateway/src/main.ts
+++ b/packages/gateway/src/main.ts
@@ -1,9 +1,9 @@
 /** Program of an entry on the platform: serves until it is told to stop. */
+import { readFileSync } from 'node:fs';
 import { SETTINGS_VARIABLE } from '@masticbend/platform/settings';
 import { LogEvent } from '@masticbend/kernel/log';
 import { createGateway } from './gateway.js';
 import { parseSettings, readSettings } from './settings.js';
-import { readFileSync } from 'node:fs';
 
 /** Exit codes. */
 const EXIT_FAILED = 1;
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -60,7 +60,7 @@
   let renewedAt: number | undefined;
   let stopped = false;
 
-  async function renew(): Promise<boolean> {
+  async function refreshLease(): Promise<boolean> {
     const sentAt = getElapsed();
     const value = Buffer.from(JSON.stringify({ address: self.address, incarnation }));
     const result = await store.writeRow(MEMBERS_TABLE, self.instance, value);
@@ -69,7 +69,7 @@
     return true;
   }
 
-  async function refresh(): Promise<boolean> {
+  async function refreshMembers(): Promise<boolean> {
     const result = await store.readRows(MEMBERS_TABLE);
     if (result.kind !== 'rows') return false;
     const now = getElapsed();
@@ -107,8 +107,8 @@
 
   async function run(): Promise<void> {
     while (!stopped) {
-      const renewed = await renew();
-      const refreshed = await refresh();
+      const renewed = await refreshLease();
+      const refreshed = await refreshMembers();
       await waitFor(clock, renewed && refreshed ? choosePause() : RETRY_MS);
     }
   }
--- a/packages/gateway/src/peer-mesh.ts
+++ b/packages/gateway/src/peer-mesh.ts
@@ -8,8 +8,8 @@
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import { createConnection, type Connection } from '@masticbend/protocol/connection';
 import type { Message, PeerReportMessage } from '@masticbend/protocol/message';
+import { parseAddress } from '@masticbend/settings/address';
 import type { Member } from './members.js';
-import { splitAddress } from './settings.js';
 
 /** Interval of reports while something changes, and at rest, in milliseconds. */
 const REPORT_INTERVAL_MS = 40;
@@ -34,8 +34,6 @@
   start: () => Promise<void>;
   stop: () => void;
   setMembers: (members: readonly Member[]) => void;
-  /** Peers heard within the limit. */
-  countHeard: () => number;
   dump: () => unknown;
 }
 
@@ -50,8 +48,8 @@
   onReport: (peer: string, report: PeerReport) => void;
   /** The peer's reports no longer hold. */
   onLost: (peer: string) => void;
-  /** Called at each round of reports. */
-  onRound: () => void;
+  /** Called at each round of reports, with the number of peers heard. */
+  onRound: (heard: number) => void;
 }
 
 interface Peer {
@@ -156,7 +154,7 @@
   }
 
   function dial(address: string): void {
-    const { host, port } = splitAddress(address);
+    const { host, port } = parseAddress(address);
     const socket = connect({ host, port });
     const stopTimer = clock.startTimer(DIAL_LIMIT_MS, () => socket.destroy());
     // A failed dial is tried again at the next interval.
@@ -189,18 +187,22 @@
     for (const { connection } of peers.values()) connection.send(report);
   }
 
+  function countHeard(): number {
+    return [...peers.values()].filter(({ heard }) => heard).length;
+  }
+
   function runRound(): void {
     const now = clock.now();
     checkPeers(now);
     dialMissing(now);
     sendReports(now);
-    onRound();
+    onRound(countHeard());
     stopRound = clock.startTimer(REPORT_INTERVAL_MS, runRound);
   }
 
   return {
     start() {
-      const { host, port } = splitAddress(self.address);
+      const { host, port } = parseAddress(self.address);
       const listener = createServer({ noDelay: true }, openConnection);
       server = listener;
       runRound();
@@ -217,7 +219,6 @@
     setMembers(next) {
       members = next;
     },
-    countHeard: () => [...peers.values()].filter(({ heard }) => heard).length,
     dump: () => ({
       members: members.length,
       peers: [...peers.values()].map(({ instance, heard }) => ({ instance, heard })),
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -22,11 +22,11 @@
 import type { ConfigurationView } from './configuration-view.js';
 import type { Delivery } from './delivery.js';
 
-/** Part of the objective in which a waiting request must be sent, less the time to its first byte. */
+/** Part of the objective in which a request must be sent, less the time to its first byte. */
 const WAIT_PART = 0.85;
 /** Least wait that a request is allowed, as a part of its objective. */
 const LEAST_WAIT_PART = 0.1;
-/** Time by which a backend server's own answer at the deadline goes before ours, in milliseconds. */
+/** Time left to a backend server's own answer at the deadline, in milliseconds. */
 const DEADLINE_MARGIN_MS = 40;
 /** Interval of the check for requests that waited too long, in milliseconds. */
 const EXPIRY_CHECK_MS = 10;
@@ -132,10 +132,13 @@
   function accept(incoming: IncomingRequest, connect: (onAbandoned: () => void) => Delivery): void {
     const view = options.getView();
     let state: RequestState | undefined;
-    const delivery = connect(() => state && abandon(state));
+    const delivery = connect(() => state && abortRequest(state));
     const refusal = checkAccess(view, incoming);
     if ('kind' in refusal) {
-      logRefusal(incoming.facts.requestId, refusal, { host: incoming.host, path: incoming.target });
+      recordRefusal(incoming.facts.requestId, refusal, {
+        host: incoming.host,
+        path: incoming.target,
+      });
       delivery.fail(refusal);
       return;
     }
@@ -211,7 +214,7 @@
       state.units = units;
       return undefined;
     }
-    return { kind: ErrorKind.RateLimited, retryAfterMs: spreadRetry(waitMs) };
+    return { kind: ErrorKind.RateLimited, retryAfterMs: drawRetryMs(waitMs) };
   }
 
   /** Sends a request to a backend server, or lets it wait for a place, or refuses it. */
@@ -219,20 +222,20 @@
     const now = clock.now();
     const choice = board.choose(now, state.service, state.work, state.tried);
     if (choice.kind === 'none') {
-      giveUp(state, { kind: ErrorKind.NoBackendServer, retryAfterMs: OUTAGE_RETRY_MS });
+      finishUnserved(state, { kind: ErrorKind.NoBackendServer, retryAfterMs: OUTAGE_RETRY_MS });
       return;
     }
     if (choice.kind === 'server' && line.count(state.service) === 0) {
-      dispatch(state, choice.entry, choice.finishMs);
+      sendToServer(state, choice.entry, choice.finishMs);
       return;
     }
     const { places } = board.countPlaces(now, state.service);
     const waitMs = line.add(now, describeWaiting(state), places / options.countInstances());
     if (waitMs !== undefined) {
-      giveUp(state, { kind: ErrorKind.Overloaded, retryAfterMs: spreadRetry(waitMs) });
+      finishUnserved(state, { kind: ErrorKind.Overloaded, retryAfterMs: drawRetryMs(waitMs) });
       return;
     }
-    if (choice.kind === 'server') pumpService(state.service);
+    if (choice.kind === 'server') sendWaiting(state.service);
   }
 
   function describeWaiting(state: RequestState) {
@@ -255,12 +258,12 @@
     };
   }
 
-  function dispatch(state: RequestState, entry: ServerEntry, finishMs: number): void {
+  function sendToServer(state: RequestState, entry: ServerEntry, finishMs: number): void {
     const { incoming, delivery, route, account, work } = state;
     const now = clock.now();
-    const refusal = recheckAccess(state);
+    const refusal = checkAccessAgain(state);
     if (refusal) {
-      giveUp(state, refusal);
+      finishUnserved(state, refusal);
       return;
     }
     const { server } = entry;
@@ -322,14 +325,14 @@
             board.recordWork(entry, clock.now() - startedAt);
           }
           handleResult(state, entry, result);
-          pumpService(state.service);
+          sendWaiting(state.service);
         },
       },
     );
   }
 
   /** A key or a route may have been taken away while the request waited. */
-  function recheckAccess(state: RequestState): Failure | undefined {
+  function checkAccessAgain(state: RequestState): Failure | undefined {
     const { account, incoming, version } = state;
     if (!account) return undefined;
     if (!options.areKeysFresh()) {
@@ -374,7 +377,7 @@
       });
       place(state);
     } else {
-      giveUp(state, { kind: ErrorKind.Overloaded, retryAfterMs: spreadRetry(0) });
+      finishUnserved(state, { kind: ErrorKind.Overloaded, retryAfterMs: drawRetryMs(0) });
     }
   }
 
@@ -430,7 +433,7 @@
   }
 
   /** Ends a request that gets no further attempt: by what is known of those it had. */
-  function giveUp(state: RequestState, refusal: Failure): void {
+  function finishUnserved(state: RequestState, refusal: Failure): void {
     const { fallback, delivery } = state;
     if (state.mayHaveRun === 0) {
       refuse(state, refusal);
@@ -443,7 +446,7 @@
   }
 
   function refuse(state: RequestState, failure: Failure): void {
-    logRefusal(state.incoming.facts.requestId, failure, {
+    recordRefusal(state.incoming.facts.requestId, failure, {
       route: state.route.name,
       account: state.account?.name,
       version: state.version,
@@ -471,7 +474,7 @@
     finish(state, failure.kind, false);
   }
 
-  function logRefusal(request: string, failure: Failure, fields: LogFields): void {
+  function recordRefusal(request: string, failure: Failure, fields: LogFields): void {
     log.info(LogEvent.RequestRefused, {
       request,
       error: failure.kind,
@@ -513,10 +516,10 @@
       state.lastReason ||= 'deadline';
       fail(state, { kind: ErrorKind.AnswerTimeout });
     }
-    pumpService(state.service);
+    sendWaiting(state.service);
   }
 
-  function abandon(state: RequestState): void {
+  function abortRequest(state: RequestState): void {
     if (!open.has(state.id)) return;
     line.remove(state.service, state.id);
     const wasSent = state.sent > 0;
@@ -530,7 +533,7 @@
       totalMs: Math.round(clock.now() - state.incoming.arrivedAt),
     });
     finish(state, 'abandoned', false);
-    pumpService(state.service);
+    sendWaiting(state.service);
   }
 
   function stopAttempt(state: RequestState): void {
@@ -540,7 +543,7 @@
     state.release();
   }
 
-  function pumpService(service: string): void {
+  function sendWaiting(service: string): void {
     for (let id = line.getFirst(service); id !== undefined; id = line.getFirst(service)) {
       const state = open.get(id);
       if (!state) {
@@ -549,36 +552,39 @@
         const choice = board.choose(clock.now(), service, state.work, state.tried);
         if (choice.kind === 'full') return;
         line.take(service, id);
-        if (choice.kind === 'server') dispatch(state, choice.entry, choice.finishMs);
-        else giveUp(state, { kind: ErrorKind.NoBackendServer, retryAfterMs: OUTAGE_RETRY_MS });
+        if (choice.kind === 'server') sendToServer(state, choice.entry, choice.finishMs);
+        else finishUnserved(state, { kind: ErrorKind.NoBackendServer, retryAfterMs: OUTAGE_RETRY_MS });
       }
     }
   }
 
-  function pump(): void {
-    for (const service of line.listServices()) pumpService(service);
+  function sendAllWaiting(): void {
+    for (const service of line.listServices()) sendWaiting(service);
   }
 
   function checkExpiry(): void {
     for (const id of line.expire(clock.now())) {
       const state = open.get(id);
       if (state) {
-        giveUp(state, { kind: ErrorKind.DeadlineUnreachable, retryAfterMs: spreadRetry(0) });
+        finishUnserved(state, {
+          kind: ErrorKind.DeadlineUnreachable,
+          retryAfterMs: drawRetryMs(0),
+        });
       }
     }
-    pump();
+    sendAllWaiting();
     stopExpiry = clock.startTimer(EXPIRY_CHECK_MS, checkExpiry);
   }
 
   /** Spreads the return of callers that were refused together. */
-  function spreadRetry(waitMs: number): number {
+  function drawRetryMs(waitMs: number): number {
     const base = Math.min(LONGEST_RETRY_MS, Math.max(LEAST_RETRY_MS, waitMs));
     return base * (1 + drawRandom() * RETRY_SPREAD);
   }
 
   return {
     accept,
-    pump,
+    pump: sendAllWaiting,
     countOpen: () => open.size,
     dump: () => ({
       open: open.size,
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -95,12 +95,6 @@
   throw new Error(`${path}: ${result.faults.join('; ')}`);
 }
 
-/** Splits `IP:port`. */
-export function splitAddress(address: string): { host: string; port: number } {
-  const [host = '', port] = address.split(':');
-  return { host, port: Number(port) };
-}
-
 function listFaults(
   prefix: string,
   found: Record<string, unknown>,
--- a/packages/gateway/test/answers.test.ts
+++ b/packages/gateway/test/answers.test.ts
@@ -13,7 +13,7 @@
 import {
   HOST,
   KEY,
-  pause,
+  waitFor,
   startDeployment,
   waitUntil,
   type Deployment,
@@ -94,13 +94,11 @@
     expect(both).to.include({ status: 500, body: 'failed' });
     expect(deployment.backends.map(({ arrivals }) => arrivals.length)).to.deep.equal([1, 1]);
     let calls = 0;
-    for (const backend of deployment.backends) {
-      backend.script = (arrival) => {
-        calls += 1;
-        if (calls === 1) fail(arrival, 0);
-        else answerWell(arrival, 0);
-      };
-    }
+    const failFirst: Script = (arrival, index) => {
+      calls += 1;
+      (calls === 1 ? fail : answerWell)(arrival, index);
+    };
+    for (const backend of deployment.backends) backend.script = failFirst;
     expect(await deployment.call('/again/a', { method: 'GET' })).to.include({ status: 200 });
     expect(calls).to.equal(2);
   });
@@ -231,7 +229,7 @@
     const controller = new AbortController();
     const call = deployment.call('/stream/a', { signal: controller.signal });
     await waitUntil(() => countArrivals() === 1);
-    await pause(30);
+    await waitFor(30);
     const leftAt = performance.now();
     controller.abort();
     await call.catch(() => undefined);
--- a/packages/gateway/test/backend.ts
+++ b/packages/gateway/test/backend.ts
@@ -24,6 +24,8 @@
 
 export async function startBackend(script: Script): Promise<ScriptedBackend> {
   const sockets = new Set<Socket>();
+  const arrivals: Arrival[] = [];
+  const state = { script };
   const server = createServer((socket) => {
     let text = '';
     sockets.add(socket);
@@ -37,8 +39,8 @@
         socket.on('close', () => {
           current.closed = true;
         });
-        backend.arrivals.push(current);
-        backend.script(current, backend.arrivals.length - 1);
+        arrivals.push(current);
+        state.script(current, arrivals.length - 1);
         arrival = parseRequest(text, socket);
       }
     });
@@ -46,10 +48,15 @@
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
-  const backend: ScriptedBackend = {
+  return {
     address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-    arrivals: [],
-    script,
+    arrivals,
+    get script() {
+      return state.script;
+    },
+    set script(next) {
+      state.script = next;
+    },
     close() {
       for (const socket of sockets) socket.destroy();
       return new Promise((resolve) => {
@@ -57,7 +64,6 @@
       });
     },
   };
-  return backend;
 }
 
 /** Returns a whole answer with the backend server's signature. */
--- a/packages/gateway/test/beliefs.test.ts
+++ b/packages/gateway/test/beliefs.test.ts
@@ -2,7 +2,7 @@
 import { expect } from 'chai';
 import { Agent, request as send } from 'undici';
 import { formatAnswer, type Script } from './backend.js';
-import { HOST, KEY, pause, startDeployment, waitUntil, type Deployment } from './harness.js';
+import { HOST, KEY, waitFor, startDeployment, waitUntil, type Deployment } from './harness.js';
 
 /** Bounds that the settings of the test, or the operators, promise, in milliseconds. */
 const CONFIGURATION_LIMIT_MS = 2_000;
@@ -34,21 +34,21 @@
       service: 'plain',
       anonymous: true,
     };
-    deployment.putConfiguration({ version: 9, routes: [route] });
+    deployment.writeConfiguration({ version: 9, routes: [route] });
     const changedAt = performance.now();
     await waitUntil(async () => (await callStatus('/new/a')) === 200);
     expect(performance.now() - changedAt).to.be.below(CONFIGURATION_LIMIT_MS);
     expect(await callStatus('/once/a')).to.equal(404);
-    deployment.putConfiguration({ version: 8 });
-    await pause(600);
+    deployment.writeConfiguration({ version: 8 });
+    await waitFor(600);
     expect(await callStatus('/once/a')).to.equal(404);
   });
 
   it('read the whole table again when the history is lost', async () => {
     await start(answerWell);
     deployment.store.faults.dropHistory = true;
-    await pause(300);
-    deployment.putConfiguration({ version: 9, routes: [] });
+    await waitFor(300);
+    deployment.writeConfiguration({ version: 9, routes: [] });
     const changedAt = performance.now();
     await waitUntil(async () => (await callStatus('/once/a')) === 404);
     expect(performance.now() - changedAt).to.be.below(CONFIGURATION_LIMIT_MS);
@@ -69,8 +69,8 @@
 
   it('send nothing new to a server that leaves', async () => {
     await start(answerWell, answerWell);
-    deployment.putServer(0, { state: 'draining' });
-    await pause(LEAVING_LIMIT_MS / 2);
+    deployment.writeServer(0, { state: 'draining' });
+    await waitFor(LEAVING_LIMIT_MS / 2);
     const before = deployment.backends[0]!.arrivals.length;
     for (let count = 0; count < 10; count += 1) await callStatus('/once/a');
     expect(deployment.backends[0]!.arrivals.length).to.equal(before);
@@ -80,7 +80,7 @@
   it('send nothing to a server whose registration was removed or is odd', async () => {
     await start(answerWell, answerWell);
     deployment.store.remove('servers', 'i-0');
-    deployment.putServer(1, { slots: 'many' });
+    deployment.writeServer(1, { slots: 'many' });
     await waitUntil(async () => (await callStatus('/once/a')) === 503);
     expect((await deployment.call('/once/a')).headers).to.have.property('retry-after');
   });
@@ -102,7 +102,7 @@
       return { status: statusCode, text: await body.text(), connection: headers.connection };
     };
     const open = callKept();
-    await pause(50);
+    await waitFor(50);
     const stopped = deployment.gateway.stop();
     expect((await open).status).to.equal(200);
     const ready = await send(`http://${deployment.settings.readinessAddress}/v1/readyz`);
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -1,7 +1,7 @@
 /** One entry with a store stand-in and scripted backend servers, all on loopback. */
 import { createServer, type AddressInfo } from 'node:net';
 import { request as send } from 'undici';
-import { startStoreStandIn, type StoreStandIn } from '../../../platform/test/store-standin.js';
+import { startStoreStandIn, type StoreStandIn } from '@masticbend/platform/test/store-standin';
 import { createGateway, type Gateway } from '../src/gateway.js';
 import type { GatewaySettings } from '../src/settings.js';
 import { startBackend, type Script, type ScriptedBackend } from './backend.js';
@@ -57,8 +57,8 @@
   gateway: Gateway;
   settings: GatewaySettings;
   /** Writes a configuration with changes to the document above. */
-  putConfiguration: (changes: object) => void;
-  putServer: (index: number, changes?: object) => void;
+  writeConfiguration: (changes: object) => void;
+  writeServer: (index: number, changes?: object) => void;
   call: (path: string, options?: CallOptions) => Promise<Reply>;
   /** Waits until requests with a key are served. */
   waitUntilServing: () => Promise<void>;
@@ -86,7 +86,7 @@
   const settings = await createSettings(store.address);
   const gateway = createGateway(settings);
 
-  function putServer(index: number, changes: object = {}): void {
+  function writeServer(index: number, changes: object = {}): void {
     store.put('servers', `i-${index}`, {
       service: 'plain',
       address: backends[index]!.address,
@@ -126,8 +126,8 @@
     backends,
     gateway,
     settings,
-    putConfiguration: (changes) => store.put('op', 'config', { ...DOCUMENT, ...changes }),
-    putServer,
+    writeConfiguration: (changes) => store.put('op', 'config', { ...DOCUMENT, ...changes }),
+    writeServer,
     call,
     waitUntilServing: () =>
       waitUntil(async () => {
@@ -141,8 +141,8 @@
       await store.close();
     },
   };
-  deployment.putConfiguration({});
-  backends.forEach((_backend, index) => putServer(index));
+  deployment.writeConfiguration({});
+  backends.forEach((_backend, index) => writeServer(index));
   await gateway.start();
   await deployment.waitUntilServing();
   return deployment;
@@ -152,11 +152,11 @@
   const end = performance.now() + WAIT_LIMIT_MS;
   while (!(await check())) {
     if (performance.now() > end) throw new Error(`not true within ${WAIT_LIMIT_MS} ms`);
-    await pause(WAIT_CHECK_MS);
+    await waitFor(WAIT_CHECK_MS);
   }
 }
 
-export function pause(durationMs: number): Promise<void> {
+export function waitFor(durationMs: number): Promise<void> {
   return new Promise((resolve) => {
     setTimeout(resolve, durationMs);
   });
--- a/packages/scheduling/src/server-board.ts
+++ b/packages/scheduling/src/server-board.ts
@@ -154,13 +154,13 @@
     },
     recordFirst(entry, work, elapsedMs) {
       const thousands = (entry.readingTokens + work.promptTokens) / 1_000 + 1;
-      entry.readingMs = follow(entry.readingMs, elapsedMs / thousands, READING_STEP);
+      entry.readingMs = mergeEstimate(entry.readingMs, elapsedMs / thousands, READING_STEP);
     },
     recordPace(entry, intervalMs) {
-      entry.paceMs = follow(entry.paceMs, intervalMs, PACE_STEP);
+      entry.paceMs = mergeEstimate(entry.paceMs, intervalMs, PACE_STEP);
     },
     recordWork(entry, elapsedMs) {
-      entry.workMs = follow(entry.workMs, elapsedMs, PACE_STEP);
+      entry.workMs = mergeEstimate(entry.workMs, elapsedMs, PACE_STEP);
     },
     recordSuccess(entry) {
       entry.failuresInRow = 0;
@@ -258,6 +258,6 @@
   return entry.failureShare * FAILURE_COST_MS + distance;
 }
 
-function follow(known: number | undefined, observed: number, step: number): number {
+function mergeEstimate(known: number | undefined, observed: number, step: number): number {
   return known === undefined ? observed : known + (observed - known) * step;
 }
--- a/packages/scheduling/src/shared-limit.ts
+++ b/packages/scheduling/src/shared-limit.ts
@@ -38,7 +38,7 @@
   const admitted = new Map<string, number>();
   let share = 0;
 
-  function fill(now: number, bucket: Bucket): void {
+  function refreshLevel(now: number, bucket: Bucket): void {
     const { ratePerSecond, burst } = bucket.limit;
     const elapsedS = Math.max(0, now - bucket.filledAt) / 1_000;
     bucket.level = Math.min(burst * share, bucket.level + elapsedS * ratePerSecond * share);
@@ -48,7 +48,7 @@
   function findBucket(now: number, account: string, limit: AccountLimit): Bucket {
     const known = buckets.get(account);
     if (known) {
-      fill(now, known);
+      refreshLevel(now, known);
       known.limit = limit;
       known.level = Math.min(known.level, limit.burst * share);
       return known;
@@ -83,18 +83,18 @@
     refund(now, account, units) {
       const bucket = buckets.get(account);
       if (!bucket) return;
-      fill(now, bucket);
+      refreshLevel(now, bucket);
       bucket.level = Math.min(bucket.limit.burst * share, bucket.level + units);
       addAdmitted(account, -units);
     },
     receive(now, account, units) {
       const bucket = buckets.get(account);
       if (!bucket) return;
-      fill(now, bucket);
+      refreshLevel(now, bucket);
       bucket.level = Math.min(bucket.limit.burst * share, bucket.level - units);
     },
     setShare(now, next) {
-      for (const bucket of buckets.values()) fill(now, bucket);
+      for (const bucket of buckets.values()) refreshLevel(now, bucket);
       share = next;
       for (const bucket of buckets.values()) {
         bucket.level = Math.min(bucket.level, bucket.limit.burst * share);
--- a/packages/scheduling/src/waiting-line.ts
+++ b/packages/scheduling/src/waiting-line.ts
@@ -67,7 +67,7 @@
     if (!queue) return 0;
     const aheadMs = queue
       .sumCostMsByTier()
-      .slice(0, boundTier(tier) + 1)
+      .slice(0, selectTier(tier) + 1)
       .reduce((sum, costMs) => sum + costMs, 0);
     return aheadMs / Math.max(1, places);
   }
@@ -110,7 +110,7 @@
   const { id, service, account, arrivedAt, startBy, costMs, tokens } = request;
   const work: WorkDescription = {
     account,
-    tier: boundTier(request.tier),
+    tier: selectTier(request.tier),
     target: service,
     work: service,
     promptTokens: tokens,
@@ -134,6 +134,6 @@
   };
 }
 
-function boundTier(tier: number): number {
+function selectTier(tier: number): number {
   return Math.min(TIERS - 1, Math.max(0, Math.floor(tier)));
 }
--- a/packages/scheduling/test/shared-limit.test.ts
+++ b/packages/scheduling/test/shared-limit.test.ts
@@ -32,7 +32,7 @@
 }
 
 /** Plays instances that all ask for far more than the limit; returns what each step admitted. */
-function playInstances(count: number, cuts: Cut[], create: () => SharedLimits): number[] {
+function runInstances(count: number, cuts: Cut[], create: () => SharedLimits): number[] {
   const instances = Array.from({ length: count }, create);
   const reported = instances.map(() => instances.map(() => 0));
   for (const instance of instances) {
@@ -96,7 +96,7 @@
   it('hold over all instances under random partitions', () => {
     fc.assert(
       fc.property(cutsOf(6), (cuts) => {
-        const largest = findLargestWindow(playInstances(6, cuts, createSharedLimits));
+        const largest = findLargestWindow(runInstances(6, cuts, createSharedLimits));
         return largest <= BOUND;
       }),
       { seed: SEED, numRuns: 40 },
@@ -109,11 +109,11 @@
       return { ...limits, setShare: (now: number) => limits.setShare(now, 1) };
     };
     const cuts = [{ at: 100, steps: 2_800, alone: 0 }];
-    expect(findLargestWindow(playInstances(6, cuts, createGreedy))).to.be.above(BOUND);
+    expect(findLargestWindow(runInstances(6, cuts, createGreedy))).to.be.above(BOUND);
   });
 
   it('gives the whole rate to those who ask, wherever they ask', () => {
-    const admitted = playInstances(6, [], createSharedLimits);
+    const admitted = runInstances(6, [], createSharedLimits);
     const perSecond = admitted.slice(1_000).reduce((sum, units) => sum + units, 0) / 20;
     expect(perSecond).to.be.within(LIMIT.ratePerSecond * 0.95, LIMIT.ratePerSecond * 1.05);
   });
--- a/packages/settings/src/process-settings.ts
+++ b/packages/settings/src/process-settings.ts
@@ -70,12 +70,6 @@
   return requireSettings(path, checkAgentSettings(readFileSync(path, 'utf8')));
 }
 
-/** Splits `IP:port`. */
-export function parseAddress(text: string): { host: string; port: number } {
-  const separator = text.lastIndexOf(':');
-  return { host: text.slice(0, separator), port: Number(text.slice(separator + 1)) };
-}
-
 function requireSettings<Settings>(path: string, result: CheckResult<Settings>): Settings {
   if (result.ok) return result.value;
   throw new Error(`${path}: ${result.faults.map(formatFault).join('; ')}`);
--- a/packages/settings/src/routing.ts
+++ b/packages/settings/src/routing.ts
@@ -1,6 +1,6 @@
 /**
  * The routing configuration: which path of which host goes to which service, what may be repeated,
- * who may call and how much. The platform's adapter decodes it; every process treats it as read-only.
+ * who may call and how much. Decoded by the platform's adapter; every process only reads it.
  */
 
 /** What may be done with a request whose backend server did not answer whole. */
