--- /dev/null
+++ b/packages/gateway/src/agent-main.ts
@@ -0,0 +1,10 @@
+/** Program of an agent on the platform. */
+import { createPermitAgent } from './permit-agent.js';
+import { runProgram } from './program.js';
+import { parseAgentSettings } from './settings.js';
+
+runProgram({
+  name: 'masticbend-agent',
+  parseSettings: parseAgentSettings,
+  create: createPermitAgent,
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -28,6 +28,7 @@
 import { createIngress, startServer, type Ingress } from './ingress.js';
 import { createMembers, type Members } from './members.js';
 import { createPeerMesh, type PeerMesh } from './peer-mesh.js';
+import { createPermitClient, type PermitClient } from './permit-client.js';
 import { createRequests, type Requests } from './requests.js';
 import type { GatewaySettings } from './settings.js';
 import { createTableFeed, type TableFeed } from './table-feed.js';
@@ -56,6 +57,7 @@
   requests: Requests & Lifecycle;
   ingress: Ingress & Lifecycle;
   members: Members & Lifecycle;
+  permits: PermitClient & Lifecycle;
   mesh: PeerMesh & Lifecycle;
   administration: Lifecycle;
 }
@@ -98,6 +100,7 @@
   kernel.provide('view', () => createViewService(kernel, settings, getElapsed));
   kernel.provide('servers', () => createServersService(kernel, getElapsed));
   kernel.provide('requests', () => createRequestsService(kernel, settings));
+  kernel.provide('permits', () => createPermitsService(kernel, settings));
   kernel.provide('members', () => createMembersService(kernel, settings, incarnation, getElapsed));
   kernel.provide('mesh', () => createMeshService(kernel, settings, incarnation));
   kernel.provide('ingress', () => createIngressService(kernel, settings));
@@ -188,6 +191,7 @@
       keys: view.accounts.size,
     });
     kernel.find('limits').setLimits(kernel.find('clock').now(), listLimits(configuration));
+    updateAgents(kernel);
     kernel.find('ingress').applyLimits();
   }
 
@@ -227,6 +231,17 @@
   };
 }
 
+/** Only engines have an agent beside them; the configuration tells which servers are engines. */
+function updateAgents(kernel: Kernel<GatewayServices>): void {
+  const services = kernel.find('view').getView()?.configuration.services;
+  const servers = kernel
+    .find('board')
+    .listServers()
+    .map(({ server }) => server);
+  const engines = servers.filter(({ service }) => services?.get(service)?.engine !== undefined);
+  kernel.find('permits').setServers(engines);
+}
+
 function listLimits({ accounts }: RoutingConfiguration): Map<string, AccountLimit> {
   return new Map(accounts.flatMap(({ name, limit }) => (limit ? [[name, limit] as const] : [])));
 }
@@ -258,6 +273,7 @@
     const servers = list.list();
     board.setServers(servers);
     client.retain(servers);
+    updateAgents(kernel);
     scheduleExpiry();
     kernel.find('requests').pump();
   }
@@ -311,6 +327,7 @@
     board: kernel.find('board'),
     line: createWaitingLine(),
     limits: kernel.find('limits'),
+    permits: kernel.find('permits'),
     repeats: createRepeatBudget({
       ratio: bounds.repeatRatio,
       slack: bounds.repeatSlack,
@@ -326,6 +343,24 @@
   });
 }
 
+function createPermitsService(
+  kernel: Kernel<GatewayServices>,
+  { instance, meshAddress }: GatewaySettings,
+): PermitClient {
+  const requests = () => kernel.find('requests');
+  return createPermitClient({
+    instance,
+    port: parseAddress(meshAddress).port,
+    clock: kernel.find('clock'),
+    log: kernel.find('log'),
+    events: {
+      onPermit: (server, request) => requests().receivePermit(server, request),
+      onRefusal: (server, request, waitMs) => requests().receiveRefusal(server, request, waitMs),
+      onLost: (server, request) => requests().receiveLoss(server, request),
+    },
+  });
+}
+
 function createMembersService(
   kernel: Kernel<GatewayServices>,
   { instance, meshAddress }: GatewaySettings,
--- /dev/null
+++ b/packages/gateway/src/permit-agent.ts
@@ -0,0 +1,35 @@
+/** Wires one agent: the permits of the engine beside it, and its state for operators. */
+import { createServer } from 'node:http';
+import { createSystemClock } from '@masticbend/kernel/clock';
+import { createLogger, LogEvent } from '@masticbend/kernel/log';
+import { parseAddress } from '@masticbend/settings/address';
+import { startServer } from './ingress.js';
+import { createPermitServer } from './permit-server.js';
+import type { Runnable } from './program.js';
+import type { AgentSettings } from './settings.js';
+
+/** Builds an agent. It holds nothing that must outlive it: entries tell it what they run. */
+export function createPermitAgent(settings: AgentSettings): Runnable {
+  const log = createLogger({ process: settings.instance }, settings.logLevel);
+  const clock = createSystemClock();
+  const permits = createPermitServer({ address: settings.meshAddress, clock, log });
+  const operators = createServer((request, response) => {
+    if (request.url === '/dump') response.end(JSON.stringify(permits.dump()));
+    else response.end(permits.renderMetrics());
+  });
+  return {
+    log,
+    async start() {
+      const { host, port } = parseAddress(settings.metricsAddress);
+      await permits.start();
+      await startServer(operators, host, port);
+      log.info(LogEvent.ProcessStarted, { address: settings.meshAddress });
+    },
+    async stop() {
+      log.info(LogEvent.ProcessStopping);
+      permits.stop();
+      operators.close();
+      operators.closeAllConnections();
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/permit-server.ts
@@ -0,0 +1,150 @@
+/**
+ * The agent's side of permits: the one place that counts what all entries send to its backend
+ * server. Requests themselves do not pass through the agent, so that its end cuts no answer.
+ */
+import { createServer, type Server, type Socket } from 'node:net';
+import type { Clock } from '@masticbend/kernel/clock';
+import { LogEvent, type Logger } from '@masticbend/kernel/log';
+import { createConnection, type Connection } from '@masticbend/protocol/connection';
+import type { Message } from '@masticbend/protocol/message';
+import { createPermitQueue, type PermitAnswer } from '@masticbend/scheduling/permit-queue';
+import { parseAddress } from '@masticbend/settings/address';
+
+/** Interval of the check for wishes that waited too long, in milliseconds. */
+const EXPIRY_CHECK_MS = 10;
+/** Interval of reports, in milliseconds; answers carry the load too. */
+const REPORT_INTERVAL_MS = 200;
+
+/** What the server needs. */
+export interface PermitServerOptions {
+  /** Mesh address as `IP:port`. */
+  address: string;
+  clock: Clock;
+  log: Logger;
+}
+
+/** Permit server of one agent. */
+export interface PermitServer {
+  start: () => Promise<void>;
+  stop: () => void;
+  /** Gauges in the text exposition format. */
+  renderMetrics: () => string;
+  dump: () => unknown;
+}
+
+/** Returns a server that does not listen yet. */
+export function createPermitServer({ address, clock, log }: PermitServerOptions): PermitServer {
+  const queue = createPermitQueue();
+  const owners = new Map<string, Connection>();
+  let server: Server | undefined;
+  let stopExpiry = () => {};
+  let stopReport = () => {};
+
+  function openConnection(socket: Socket): void {
+    let owner: string | undefined;
+    const connection = createConnection(socket, clock, {
+      onMessage(message) {
+        if (message.kind === 'permit-hello') {
+          owner = message.instance;
+          addOwner(owner, connection, message.slots, message.running);
+        } else if (owner !== undefined) {
+          sendAnswers(handleMessage(owner, message));
+        }
+      },
+      onClose(reason) {
+        if (owner === undefined || owners.get(owner) !== connection) return;
+        owners.delete(owner);
+        log.info(LogEvent.ConnectionClosed, { peer: owner, reason });
+        sendAnswers(queue.dropOwner(clock.now(), owner));
+      },
+    });
+  }
+
+  function addOwner(
+    owner: string,
+    connection: Connection,
+    slots: number,
+    running: readonly string[],
+  ): void {
+    const known = owners.get(owner);
+    owners.set(owner, connection);
+    known?.close('replaced');
+    const now = clock.now();
+    queue.setSlots(slots);
+    const answers = queue.dropOwner(now, owner);
+    queue.adopt(now, owner, running);
+    log.info(LogEvent.ConnectionOpened, { peer: owner, slots, running: running.length });
+    sendAnswers(answers);
+    connection.send(createReport());
+  }
+
+  function handleMessage(owner: string, message: Message): PermitAnswer[] {
+    const now = clock.now();
+    if (message.kind === 'permit-request') return queue.request(now, owner, message);
+    if (message.kind === 'permit-release') return queue.release(now, owner, message.request);
+    return [];
+  }
+
+  function sendAnswers(answers: readonly PermitAnswer[]): void {
+    if (answers.length === 0) return;
+    const { held, backlogMs } = queue.report();
+    for (const { owner, request, refusedWaitMs } of answers) {
+      const load = { request, held, backlogMs };
+      const message: Message =
+        refusedWaitMs === undefined
+          ? { kind: 'permit', ...load }
+          : { kind: 'permit-refusal', ...load, waitMs: refusedWaitMs };
+      owners.get(owner)?.send(message);
+      log.debug(LogEvent.PermitAnswered, { request, owner, held, backlogMs, refusedWaitMs });
+    }
+  }
+
+  function createReport(): Message {
+    const { held, backlogMs } = queue.report();
+    return { kind: 'permit-report', held, backlogMs };
+  }
+
+  function checkExpiry(): void {
+    sendAnswers(queue.expire(clock.now()));
+    stopExpiry = clock.startTimer(EXPIRY_CHECK_MS, checkExpiry);
+  }
+
+  function sendReports(): void {
+    const report = createReport();
+    for (const connection of owners.values()) connection.send(report);
+    stopReport = clock.startTimer(REPORT_INTERVAL_MS, sendReports);
+  }
+
+  return {
+    start() {
+      const { host, port } = parseAddress(address);
+      const listener = createServer({ noDelay: true }, openConnection);
+      server = listener;
+      checkExpiry();
+      sendReports();
+      return new Promise((resolve, reject) => {
+        listener.once('error', reject);
+        listener.listen(port, host, resolve);
+      });
+    },
+    stop() {
+      stopExpiry();
+      stopReport();
+      server?.close();
+      for (const connection of owners.values()) connection.close('stopping');
+    },
+    renderMetrics() {
+      const { held, waiting, backlogMs } = queue.report();
+      const gauges = {
+        masticbend_permits_held: held,
+        masticbend_permits_waiting: waiting,
+        masticbend_permits_backlog_ms: backlogMs,
+        masticbend_connected_entries: owners.size,
+      };
+      return Object.entries(gauges)
+        .map(([name, value]) => `# TYPE ${name} gauge\n${name} ${value}\n`)
+        .join('');
+    },
+    dump: () => ({ ...queue.report(), owners: owners.size }),
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/program.ts
@@ -0,0 +1,78 @@
+/** What the programs of the platform share: command line, signals and the end of the process. */
+import { readFileSync } from 'node:fs';
+import { LogEvent, type Logger } from '@masticbend/kernel/log';
+import { SETTINGS_VARIABLE } from '@masticbend/platform/settings';
+import { readSettings, type ParseSettings } from './settings.js';
+
+/** Exit codes. */
+const EXIT_FAILED = 1;
+const EXIT_USAGE = 2;
+/** Longest wait for the last log lines to be taken, in milliseconds. */
+const FLUSH_LIMIT_MS = 200;
+
+/** A process that can be run. */
+export interface Runnable {
+  start: () => Promise<void>;
+  /** Finishes accepted work. */
+  stop: () => Promise<void>;
+  log: Logger;
+}
+
+/** Description of a program. */
+export interface Program<Settings> {
+  name: string;
+  parseSettings: ParseSettings<Settings>;
+  create: (settings: Settings) => Runnable;
+}
+
+/** Runs a program by its command line: `[--check] [SETTINGS]`. */
+export function runProgram<Settings>(program: Program<Settings>): void {
+  const words = process.argv.slice(2);
+  const path = words.find((word) => !word.startsWith('--')) ?? process.env[SETTINGS_VARIABLE];
+  const unknown = words.find((word) => word.startsWith('--') && word !== '--check');
+  if (path === undefined || unknown !== undefined) {
+    process.stderr.write(`usage: ${program.name} [--check] [SETTINGS]\n`);
+    process.stderr.write(`SETTINGS defaults to the path in ${SETTINGS_VARIABLE}\n`);
+    process.exitCode = EXIT_USAGE;
+  } else if (words.includes('--check')) {
+    process.exitCode = checkSettings(path, program.parseSettings);
+  } else {
+    runProcess(path, program);
+  }
+}
+
+function checkSettings<Settings>(path: string, parseSettings: ParseSettings<Settings>): number {
+  const result = parseSettings(readFileSync(path, 'utf8'));
+  if (result.ok) {
+    process.stdout.write(`${path}: ok\n`);
+    return 0;
+  }
+  for (const fault of result.faults) process.stderr.write(`${path}: ${fault}\n`);
+  return EXIT_FAILED;
+}
+
+function runProcess<Settings>(path: string, { parseSettings, create }: Program<Settings>): void {
+  const runnable = create(readSettings(path, parseSettings));
+  const { log } = runnable;
+
+  async function finish(exitCode: number): Promise<void> {
+    await log.flush(FLUSH_LIMIT_MS);
+    process.exit(exitCode);
+  }
+
+  function fail(error: Error): void {
+    log.error(LogEvent.ProcessFailed, { error: error.message, stack: error.stack });
+    finish(EXIT_FAILED);
+  }
+
+  process.on('uncaughtException', fail);
+  process.on('SIGTERM', () => {
+    runnable.stop().then(() => finish(0), fail);
+  });
+  process.on('SIGHUP', () => {
+    const result = parseSettings(readFileSync(path, 'utf8'));
+    if (result.ok) log.info(LogEvent.SettingsReloaded, { path });
+    else log.error(LogEvent.SettingsReloaded, { path, fault: result.faults[0] });
+  });
+  runnable.start().catch(fail);
+}
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -10,6 +10,7 @@
 import type { RepeatBudget } from '@masticbend/scheduling/repeat-budget';
 import {
   countHeld,
+  type AgentLoad,
   type PlacedWork,
   type ServerBoard,
   type ServerEntry,
@@ -21,6 +22,7 @@
 import type { BackendClient } from './backend-client.js';
 import type { ConfigurationView } from './configuration-view.js';
 import type { Delivery } from './delivery.js';
+import type { PermitClient } from './permit-client.js';
 
 /** Part of the objective in which a request must be sent, less the time to its first byte. */
 const WAIT_PART = 0.85;
@@ -36,10 +38,19 @@
 const LEAST_SILENCE_MS = 600;
 /** Time a server that had no room is passed over, in milliseconds. */
 const FULL_PAUSE_MS = 30;
-/** Bounds of the advice when to come back, in milliseconds, and its random part. */
+/** Least advice when to come back, in milliseconds, and the part of it that is drawn. */
 const LEAST_RETRY_MS = 300;
-const LONGEST_RETRY_MS = 3_000;
-const RETRY_SPREAD = 1;
+const RETRY_SPREAD = 0.5;
+/** Part of a caller's time left that it waits at most before it comes back. */
+const RETRY_TIME_PART = 1 / 3;
+/** How far the share of refused requests follows the last one, and what share is an overload. */
+const REFUSED_STEP = 0.02;
+const OVERLOAD_SHARE = 0.3;
+/** Agents asked for one request at a time, and in all. */
+const PARALLEL_ASKS = 2;
+const MOST_ASKS = 4;
+/** Longest wait of a repeat for a permit, as a part of the objective. */
+const REPEAT_WAIT_PART = 2;
 /** Advice while the store or the servers are away, in milliseconds. */
 const OUTAGE_RETRY_MS = 1_000;
 /** Output tokens expected of a request that gives no estimate, as a part of its most. */
@@ -67,6 +78,7 @@
   line: WaitingLine;
   limits: SharedLimits;
   repeats: RepeatBudget;
+  permits: Pick<PermitClient, 'findLoad' | 'ask' | 'release' | 'addRunning'>;
   getView: () => ConfigurationView | undefined;
   /** Tells whether the keys in force are known recently enough to admit by them. */
   areKeysFresh: () => boolean;
@@ -90,6 +102,10 @@
   accept: (incoming: IncomingRequest, connect: (onAbandoned: () => void) => Delivery) => void;
   /** Sends waiting requests to places that came free. */
   pump: () => void;
+  /** Answers of agents. */
+  receivePermit: (server: string, id: string) => void;
+  receiveRefusal: (server: string, id: string, waitMs: number) => void;
+  receiveLoss: (server: string, id: string) => void;
   countOpen: () => number;
   dump: () => unknown;
   stop: () => void;
@@ -108,6 +124,11 @@
   units: number;
   deadlineAt: number;
   tried: Set<string>;
+  /** Servers whose agents were asked and have not answered. */
+  asked: Set<string>;
+  /** Agents asked so far, and the least wait that one of them expected. */
+  asks: number;
+  refusedWaitMs: number | undefined;
   /** Servers that it was sent to. */
   sent: number;
   /** Attempts that may have run. */
@@ -124,9 +145,11 @@
 
 /** Returns an entry's requests. */
 export function createRequests(options: RequestsOptions): Requests {
-  const { clock, log, drawRandom, client, board, line, limits, repeats } = options;
+  const { clock, log, drawRandom, client, board, line, limits, repeats, permits } = options;
   const open = new Map<string, RequestState>();
   let next = 1;
+  /** Share of the latest requests that were refused for want of places. */
+  let refusedShare = 0;
   let stopExpiry = clock.startTimer(EXPIRY_CHECK_MS, checkExpiry);
 
   function accept(incoming: IncomingRequest, connect: (onAbandoned: () => void) => Delivery): void {
@@ -193,6 +216,9 @@
       units: 0,
       deadlineAt: arrivedAt + limitMs,
       tried: new Set(),
+      asked: new Set(),
+      asks: 0,
+      refusedWaitMs: undefined,
       sent: 0,
       mayHaveRun: 0,
       lastReason: '',
@@ -214,28 +240,101 @@
       state.units = units;
       return undefined;
     }
-    return { kind: ErrorKind.RateLimited, retryAfterMs: drawRetryMs(waitMs) };
+    return { kind: ErrorKind.RateLimited, retryAfterMs: drawRetryMs(state, waitMs) };
   }
 
-  /** Sends a request to a backend server, or lets it wait for a place, or refuses it. */
+  /** Sends a request to a backend server, asks its agent, or lets it wait, or refuses it. */
   function place(state: RequestState): void {
     const now = clock.now();
-    const choice = board.choose(now, state.service, state.work, state.tried);
-    if (choice.kind === 'none') {
-      finishUnserved(state, { kind: ErrorKind.NoBackendServer, retryAfterMs: OUTAGE_RETRY_MS });
-      return;
-    }
-    if (choice.kind === 'server' && line.count(state.service) === 0) {
+    const excluded = new Set([...state.tried, ...state.asked]);
+    const { service, work } = state;
+    const choice = board.choose(now, service, work, excluded, permits.findLoad);
+    if (choice.kind === 'server' && choice.load) {
+      reserveBest(state, choice.entry, choice.load, excluded);
+    } else if (choice.kind === 'none') {
+      finishUnserved(state, createPlaceFailure(state));
+    } else if (choice.kind === 'server' && line.count(service) === 0) {
       sendToServer(state, choice.entry, choice.finishMs);
-      return;
+    } else {
+      waitInLine(state, now);
+      if (choice.kind === 'server') sendWaiting(service);
+    }
+  }
+
+  function createPlaceFailure(state: RequestState): Failure {
+    if (state.refusedWaitMs === undefined) {
+      return { kind: ErrorKind.NoBackendServer, retryAfterMs: OUTAGE_RETRY_MS };
     }
+    return { kind: ErrorKind.Overloaded, retryAfterMs: drawRetryMs(state, state.refusedWaitMs) };
+  }
+
+  function waitInLine(state: RequestState, now: number): void {
     const { places } = board.countPlaces(now, state.service);
     const waitMs = line.add(now, describeWaiting(state), places / options.countInstances());
-    if (waitMs !== undefined) {
-      finishUnserved(state, { kind: ErrorKind.Overloaded, retryAfterMs: drawRetryMs(waitMs) });
+    if (waitMs === undefined) return;
+    const retryAfterMs = drawRetryMs(state, waitMs);
+    finishUnserved(state, { kind: ErrorKind.Overloaded, retryAfterMs });
+  }
+
+  /** Asks the agent of the best server; where it would wait, that of the next best as well. */
+  function reserveBest(
+    state: RequestState,
+    best: ServerEntry,
+    load: AgentLoad,
+    excluded: Set<string>,
+  ): void {
+    reserveAt(state, best);
+    if (load.held < best.server.slots || state.asked.size >= PARALLEL_ASKS) return;
+    excluded.add(best.server.id);
+    const { service, work } = state;
+    const second = board.choose(clock.now(), service, work, excluded, permits.findLoad);
+    if (second.kind === 'server' && second.load) reserveAt(state, second.entry);
+  }
+
+  function reserveAt(state: RequestState, { server }: ServerEntry): void {
+    const { id, account, tier, tokens, costMs, startBy } = describeWaiting(state);
+    const now = clock.now();
+    state.asked.add(server.id);
+    state.asks += 1;
+    const waitMs = Math.max(0, startBy - now);
+    permits.ask(server.id, { request: id, account, tier, tokens, holdMs: costMs, waitMs });
+  }
+
+  function receivePermit(serverId: string, id: string): void {
+    const state = open.get(id);
+    const entry = board.find(serverId);
+    state?.asked.delete(serverId);
+    if (!state || state.attempt || !entry) {
+      permits.release(serverId, id);
       return;
     }
-    if (choice.kind === 'server') sendWaiting(state.service);
+    releaseAsks(state);
+    const held = permits.findLoad(serverId)?.held ?? 0;
+    sendToServer(state, entry, board.estimateFinishMs(entry, state.work, held));
+  }
+
+  function receiveRefusal(serverId: string, id: string, waitMs: number): void {
+    const state = open.get(id);
+    if (!state) return;
+    state.asked.delete(serverId);
+    state.refusedWaitMs = Math.min(waitMs, state.refusedWaitMs ?? Infinity);
+    if (state.attempt || state.asked.size > 0) return;
+    state.tried.add(serverId);
+    const isLate = clock.now() >= describeWaiting(state).startBy;
+    if (isLate || state.asks >= MOST_ASKS) finishUnserved(state, createPlaceFailure(state));
+    else place(state);
+  }
+
+  function receiveLoss(serverId: string, id: string): void {
+    const state = open.get(id);
+    if (!state) return;
+    state.asked.delete(serverId);
+    if (!state.attempt && state.asked.size === 0) place(state);
+  }
+
+  function releaseAsks(state: RequestState): void {
+    for (const server of state.asked) permits.release(server, state.id);
+    state.asked.clear();
   }
 
   function describeWaiting(state: RequestState) {
@@ -246,13 +345,14 @@
       route.objectiveMs * WAIT_PART - firstMs,
     );
     const isRepeat = state.mayHaveRun > 0;
+    const repeatBy = clock.now() + route.objectiveMs * REPEAT_WAIT_PART;
     return {
       id,
       service,
       account: account?.name ?? '',
       tier,
       arrivedAt: incoming.arrivedAt,
-      startBy: isRepeat ? state.deadlineAt : incoming.arrivedAt + waitMs,
+      startBy: isRepeat ? Math.min(state.deadlineAt, repeatBy) : incoming.arrivedAt + waitMs,
       costMs: board.estimateHoldMs(service, work),
       tokens: (incoming.facts.promptTokens ?? 0) + (incoming.facts.outputTokens ?? 0),
     };
@@ -261,6 +361,7 @@
   function sendToServer(state: RequestState, entry: ServerEntry, finishMs: number): void {
     const { incoming, delivery, route, account, work } = state;
     const now = clock.now();
+    refusedShare -= refusedShare * REFUSED_STEP;
     const refusal = checkAccessAgain(state);
     if (refusal) {
       finishUnserved(state, refusal);
@@ -282,6 +383,7 @@
       attempt: state.sent + 1,
     });
     board.addRun(entry, work);
+    permits.addRunning(server.id, state.id);
     let reading = true;
     const stopReading = () => {
       if (reading) board.dropReading(entry, work);
@@ -290,6 +392,7 @@
     state.release = () => {
       stopReading();
       board.removeRun(entry);
+      permits.release(server.id, state.id);
     };
     const startedAt = now;
     state.attempt = startAttempt(
@@ -377,7 +480,7 @@
       });
       place(state);
     } else {
-      finishUnserved(state, { kind: ErrorKind.Overloaded, retryAfterMs: drawRetryMs(0) });
+      finishUnserved(state, { kind: ErrorKind.Overloaded, retryAfterMs: drawRetryMs(state, 0) });
     }
   }
 
@@ -436,6 +539,7 @@
   function finishUnserved(state: RequestState, refusal: Failure): void {
     const { fallback, delivery } = state;
     if (state.mayHaveRun === 0) {
+      refusedShare += (1 - refusedShare) * REFUSED_STEP;
       refuse(state, refusal);
     } else if (fallback && !delivery.hasBegun()) {
       delivery.answer(fallback.status, fallback.headers, fallback.body);
@@ -485,6 +589,7 @@
 
   function finish(state: RequestState, outcome: string, logged = true): void {
     state.stopDeadline();
+    releaseAsks(state);
     open.delete(state.id);
     const totalMs = clock.now() - state.incoming.arrivedAt;
     if (logged) {
@@ -537,6 +642,7 @@
   }
 
   function stopAttempt(state: RequestState): void {
+    releaseAsks(state);
     if (!state.attempt) return;
     state.attempt.abort();
     state.attempt = undefined;
@@ -549,10 +655,17 @@
       if (!state) {
         line.remove(service, id);
       } else {
-        const choice = board.choose(clock.now(), service, state.work, state.tried);
+        const choice = board.choose(
+          clock.now(),
+          service,
+          state.work,
+          state.tried,
+          permits.findLoad,
+        );
         if (choice.kind === 'full') return;
         line.take(service, id);
-        if (choice.kind === 'server') sendToServer(state, choice.entry, choice.finishMs);
+        if (choice.kind === 'server' && choice.load) place(state);
+        else if (choice.kind === 'server') sendToServer(state, choice.entry, choice.finishMs);
         else finishUnserved(state, { kind: ErrorKind.NoBackendServer, retryAfterMs: OUTAGE_RETRY_MS });
       }
     }
@@ -568,7 +681,7 @@
       if (state) {
         finishUnserved(state, {
           kind: ErrorKind.DeadlineUnreachable,
-          retryAfterMs: drawRetryMs(0),
+          retryAfterMs: drawRetryMs(state, 0),
         });
       }
     }
@@ -576,15 +689,24 @@
     stopExpiry = clock.startTimer(EXPIRY_CHECK_MS, checkExpiry);
   }
 
-  /** Spreads the return of callers that were refused together. */
-  function drawRetryMs(waitMs: number): number {
-    const base = Math.min(LONGEST_RETRY_MS, Math.max(LEAST_RETRY_MS, waitMs));
-    return base * (1 + drawRandom() * RETRY_SPREAD);
+  /**
+   * Returns when a refused caller should come back. While much is refused, an early return would
+   * only be refused again: callers come back as late as they can wait, spread over time.
+   */
+  function drawRetryMs(state: RequestState, waitMs: number): number {
+    const leftMs = state.incoming.arrivedAt + (state.incoming.facts.deadlineMs ?? 0) - clock.now();
+    const overload = Math.min(1, refusedShare / OVERLOAD_SHARE);
+    const latestMs = Math.max(0, leftMs) * RETRY_TIME_PART;
+    const baseMs = Math.max(LEAST_RETRY_MS, waitMs, latestMs * overload);
+    return Math.min(baseMs, Math.max(LEAST_RETRY_MS, latestMs)) * (1 - drawRandom() * RETRY_SPREAD);
   }
 
   return {
     accept,
     pump: sendAllWaiting,
+    receivePermit,
+    receiveRefusal,
+    receiveLoss,
     countOpen: () => open.size,
     dump: () => ({
       open: open.size,
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -27,9 +27,20 @@
   bounds: GatewayBounds;
 }
 
+/** Settings of an agent. Addresses are `IP:port`. */
+export interface AgentSettings {
+  instance: string;
+  meshAddress: string;
+  metricsAddress: string;
+  logLevel: string;
+}
+
 /** Settings, or one line for each fault. */
-export type SettingsResult =
-  { ok: true; settings: GatewaySettings } | { ok: false; faults: string[] };
+export type SettingsResult<Settings> =
+  { ok: true; settings: Settings } | { ok: false; faults: string[] };
+
+/** Parses and checks the text of a settings file; names every fault. */
+export type ParseSettings<Settings> = (text: string) => SettingsResult<Settings>;
 
 type Check = (value: unknown) => string | undefined;
 
@@ -58,6 +69,12 @@
   storeAddress: checkAddress,
   logLevel: checkLevel,
 };
+const AGENT_FIELDS: Readonly<Record<keyof AgentSettings, Check>> = {
+  instance: checkText,
+  meshAddress: checkAddress,
+  metricsAddress: checkAddress,
+  logLevel: checkLevel,
+};
 const BOUND_FIELDS: Readonly<Record<keyof GatewayBounds, Check>> = {
   graceS: checkAmount,
   keyFreshnessMs: checkAmount,
@@ -66,8 +83,31 @@
   repeatWindowS: checkAmount,
 };
 
-/** Parses and checks the text of a settings file; names every fault. */
-export function parseSettings(text: string): SettingsResult {
+/** Parses the settings of an entry. */
+export const parseGatewaySettings: ParseSettings<GatewaySettings> = (text) =>
+  parseDocument(text, ({ bounds = {}, ...top }) => [
+    ...listFaults('', top, FIELDS),
+    ...listFaults('bounds.', bounds as Record<string, unknown>, BOUND_FIELDS),
+  ]);
+
+/** Parses the settings of an agent. */
+export const parseAgentSettings: ParseSettings<AgentSettings> = (text) =>
+  parseDocument(text, (document) => listFaults('', document, AGENT_FIELDS));
+
+/** Reads a settings file; throws with every fault named. */
+export function readSettings<Settings>(
+  path: string,
+  parseSettings: ParseSettings<Settings>,
+): Settings {
+  const result = parseSettings(readFileSync(path, 'utf8'));
+  if (result.ok) return result.settings;
+  throw new Error(`${path}: ${result.faults.join('; ')}`);
+}
+
+function parseDocument<Settings>(
+  text: string,
+  check: (document: Record<string, unknown>) => string[],
+): SettingsResult<Settings> {
   let document: Record<string, unknown>;
   try {
     document = parse(text);
@@ -76,23 +116,9 @@
     const [summary] = error.message.split('\n');
     return { ok: false, faults: [`line ${error.line}, column ${error.column}: ${summary}`] };
   }
-  const { bounds = {}, ...top } = document;
-  const faults = [
-    ...listFaults('', top, FIELDS),
-    ...listFaults('bounds.', bounds as Record<string, unknown>, BOUND_FIELDS),
-  ];
+  const faults = check(document);
   if (faults.length > 0) return { ok: false, faults };
-  return {
-    ok: true,
-    settings: { logLevel: DEFAULT_LOG_LEVEL, ...document } as unknown as GatewaySettings,
-  };
-}
-
-/** Reads a settings file; throws with every fault named. */
-export function readSettings(path: string): GatewaySettings {
-  const result = parseSettings(readFileSync(path, 'utf8'));
-  if (result.ok) return result.settings;
-  throw new Error(`${path}: ${result.faults.join('; ')}`);
+  return { ok: true, settings: { logLevel: DEFAULT_LOG_LEVEL, ...document } as Settings };
 }
 
 function listFaults(
--- a/packages/kernel/src/log.ts
+++ b/packages/kernel/src/log.ts
@@ -29,6 +29,8 @@
   LimitShareChanged: 'limit-share-changed',
   HistoryLost: 'history-lost',
   MemberChanged: 'member-changed',
+  AgentChanged: 'agent-changed',
+  PermitAnswered: 'permit-answered',
   SettingsReloaded: 'settings-reloaded',
   ReadinessChanged: 'readiness-changed',
   BackendCallStarted: 'backend-call-started',
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -54,6 +54,12 @@
   Quota: 'quota',
   PeerHello: 'peer-hello',
   PeerReport: 'peer-report',
+  PermitHello: 'permit-hello',
+  PermitRequest: 'permit-request',
+  Permit: 'permit',
+  PermitRefusal: 'permit-refusal',
+  PermitRelease: 'permit-release',
+  PermitReport: 'permit-report',
 } as const;
 export type MessageKind = (typeof MessageKind)[keyof typeof MessageKind];
 
@@ -385,6 +391,62 @@
   units: number[];
 }
 
+/** Entry → agent, first message: the server it wants permits for, and what it runs there. */
+export interface PermitHelloMessage {
+  kind: 'permit-hello';
+  instance: string;
+  server: string;
+  /** Requests the backend server runs together. */
+  slots: number;
+  /** Requests of the entry that run there already. */
+  running: string[];
+}
+
+/** Entry → agent: asks to send one request to the backend server. */
+export interface PermitRequestMessage {
+  kind: 'permit-request';
+  request: string;
+  account: string;
+  tier: number;
+  tokens: number;
+  /** Time the request will hold its permit, in milliseconds. */
+  holdMs: number;
+  /** Longest useful wait, in milliseconds. */
+  waitMs: number;
+}
+
+/** Agent → entry: the request may be sent now. */
+export interface PermitMessage {
+  kind: 'permit';
+  request: string;
+  held: number;
+  /** Time of the backend server that waiting requests need, in milliseconds. */
+  backlogMs: number;
+}
+
+/** Agent → entry: the request would wait too long, or has. */
+export interface PermitRefusalMessage {
+  kind: 'permit-refusal';
+  request: string;
+  /** Wait that was expected, in milliseconds. */
+  waitMs: number;
+  held: number;
+  backlogMs: number;
+}
+
+/** Entry → agent: the request ended, or is no longer wanted here. */
+export interface PermitReleaseMessage {
+  kind: 'permit-release';
+  request: string;
+}
+
+/** Agent → entry, at intervals. */
+export interface PermitReportMessage {
+  kind: 'permit-report';
+  held: number;
+  backlogMs: number;
+}
+
 export type Message =
   | ChallengeMessage
   | HelloMessage
@@ -414,7 +476,13 @@
   | QuotaRequestMessage
   | QuotaMessage
   | PeerHelloMessage
-  | PeerReportMessage;
+  | PeerReportMessage
+  | PermitHelloMessage
+  | PermitRequestMessage
+  | PermitMessage
+  | PermitRefusalMessage
+  | PermitReleaseMessage
+  | PermitReportMessage;
 
 /** Message of one kind. */
 export type MessageOf<Kind extends MessageKind> = Extract<Message, { kind: Kind }>;
--- a/packages/protocol/src/shape.ts
+++ b/packages/protocol/src/shape.ts
@@ -149,6 +149,24 @@
     accounts: isListOf(isText),
     units: isListOf(isNumber),
   },
+  'permit-hello': {
+    instance: isText,
+    server: isText,
+    slots: isInteger,
+    running: isListOf(isText),
+  },
+  'permit-request': {
+    request: isText,
+    account: isText,
+    tier: isInteger,
+    tokens: isAmount,
+    holdMs: isAmount,
+    waitMs: isAmount,
+  },
+  permit: { request: isText, held: isInteger, backlogMs: isAmount },
+  'permit-refusal': { request: isText, waitMs: isAmount, held: isInteger, backlogMs: isAmount },
+  'permit-release': { request: isText },
+  'permit-report': { held: isInteger, backlogMs: isAmount },
 };
 
 const KINDS = Object.keys(SHAPES) as MessageKind[];
--- a/packages/scheduling/src/server-board.ts
+++ b/packages/scheduling/src/server-board.ts
@@ -53,9 +53,20 @@
   ejectedUntil: number;
 }
 
+/** What the agent beside a server says of it. */
+export interface AgentLoad {
+  held: number;
+  /** Time of the server that waiting requests need, in milliseconds. */
+  backlogMs: number;
+}
+
+/** Returns the load of a server whose agent gives permits; undefined where there is none. */
+export type FindLoad = (server: string) => AgentLoad | undefined;
+
 /** A choice of server, or why there is none. */
 export type Choice =
-  | { kind: 'server'; entry: ServerEntry; finishMs: number }
+  /** `load` is present when the server's agent has to be asked. */
+  | { kind: 'server'; entry: ServerEntry; finishMs: number; load?: AgentLoad }
   /** Servers run, but all their places are taken. */
   | { kind: 'full' }
   | { kind: 'none' };
@@ -64,7 +75,13 @@
 export interface ServerBoard {
   /** Brings the board in line with the list; entries of the same incarnation keep their state. */
   setServers: (servers: readonly BackendServer[]) => void;
-  choose: (now: number, service: string, work: PlacedWork, tried: ReadonlySet<string>) => Choice;
+  choose: (
+    now: number,
+    service: string,
+    work: PlacedWork,
+    tried: ReadonlySet<string>,
+    findLoad?: FindLoad,
+  ) => Choice;
   addRun: (entry: ServerEntry, work: PlacedWork) => void;
   removeRun: (entry: ServerEntry) => void;
   recordFirst: (entry: ServerEntry, work: PlacedWork, elapsedMs: number) => void;
@@ -80,6 +97,9 @@
   setPeerLoad: (peer: string, running: ReadonlyMap<string, number>) => void;
   /** Running requests of this instance by server id. */
   listRunning: () => Map<string, number>;
+  find: (id: string) => ServerEntry | undefined;
+  /** Expected time to the end of the answer with so many requests held. */
+  estimateFinishMs: (entry: ServerEntry, work: PlacedWork, held: number) => number;
   /** Middling estimates over a service's servers, in milliseconds. */
   estimateFirstMs: (service: string, work: PlacedWork) => number;
   estimateHoldMs: (service: string, work: PlacedWork) => number;
@@ -125,21 +145,23 @@
       }
       entries = next;
     },
-    choose(now, service, work, tried) {
-      let best: { entry: ServerEntry; finishMs: number; cost: number } | undefined;
+    choose(now, service, work, tried, findLoad = findNoLoad) {
+      let best: (Extract<Choice, { kind: 'server' }> & { cost: number }) | undefined;
       let usable = 0;
       for (const entry of entries.values()) {
         const { server } = entry;
         if (server.service === service && isUsable(now, entry) && !tried.has(server.id)) {
           usable += 1;
-          if (countHeld(entry) < server.slots + AHEAD) {
-            const finishMs = estimateFinishMs(entry, work);
+          const load = findLoad(server.id);
+          const held = load?.held ?? countHeld(entry);
+          if (load || held < server.slots + AHEAD) {
+            const finishMs = estimateFinishMs(entry, work, held, load?.backlogMs);
             const cost = finishMs + computePenaltyMs(entry, dataCentre);
-            if (!best || cost < best.cost) best = { entry, finishMs, cost };
+            if (!best || cost < best.cost) best = { kind: 'server', entry, finishMs, load, cost };
           }
         }
       }
-      if (best) return { kind: 'server', entry: best.entry, finishMs: best.finishMs };
+      if (best) return best;
       return { kind: usable > 0 ? 'full' : 'none' };
     },
     addRun(entry, work) {
@@ -192,10 +214,12 @@
       for (const [id, entry] of entries) if (entry.running > 0) running.set(id, entry.running);
       return running;
     },
+    find: (id) => entries.get(id),
+    estimateFinishMs: (entry, work, held) => estimateFinishMs(entry, work, held),
     estimateFirstMs: (service, work) =>
       computeMean(service, (entry) => estimateFirstMs(entry, work)),
     estimateHoldMs: (service, work) =>
-      computeMean(service, (entry) => estimateFinishMs(entry, work)),
+      computeMean(service, (entry) => estimateFinishMs(entry, work, countHeld(entry))),
     countPlaces(now, service) {
       let places = 0;
       let used = 0;
@@ -233,17 +257,25 @@
   };
 }
 
-function estimateFinishMs(entry: ServerEntry, work: PlacedWork): number {
-  const held = countHeld(entry);
+function findNoLoad(): undefined {
+  return undefined;
+}
+
+function estimateFinishMs(
+  entry: ServerEntry,
+  work: PlacedWork,
+  held: number,
+  backlogMs = 0,
+): number {
+  const { slots } = entry.server;
+  const excess = Math.max(0, held + 1 - slots);
   if (work.events === 0) {
     const workMs = entry.workMs ?? INITIAL_WORK_MS;
-    const waitMs = Math.max(0, held + 1 - entry.server.slots) * workMs;
-    return workMs + waitMs + (held / entry.server.slots) * workMs * CROWDING;
+    return workMs * (1 + excess + (held / slots) * CROWDING);
   }
-  const firstMs = estimateFirstMs(entry, work);
-  const paceMs = (entry.paceMs ?? INITIAL_PACE_MS) * (1 + held * CROWDING);
-  const waitMs = Math.max(0, held + 1 - entry.server.slots) * paceMs;
-  return firstMs + waitMs + paceMs * work.events;
+  const paceMs = (entry.paceMs ?? INITIAL_PACE_MS) * (1 + Math.min(held, slots) * CROWDING);
+  const waitMs = excess * paceMs + backlogMs / slots;
+  return estimateFirstMs(entry, work) + waitMs + paceMs * work.events;
 }
 
 /** Time to the first event, or to the whole answer of a plain service. */
--- a/packages/scheduling/src/waiting-line.ts
+++ b/packages/scheduling/src/waiting-line.ts
@@ -8,7 +8,7 @@
 import type { QueuedWork } from './queued-work.js';
 
 /** Tiers that are told apart; lower ones share the last. */
-const TIERS = 8;
+export const TIERS = 8;
 /** Most requests waiting for one service. */
 const LENGTH_LIMIT = 2_000;
 
@@ -79,7 +79,7 @@
       const waitMs = estimateWaitMs(service, tier, places);
       if (now + waitMs > startBy || queue.size() >= LENGTH_LIMIT) return waitMs;
       order += 1;
-      queue.add(createQueuedWork(request, order));
+      queue.add(createWaitingWork(request, order));
       return undefined;
     },
     getFirst: (service) => queues.get(service)?.getFirst()?.request,
@@ -106,7 +106,8 @@
   };
 }
 
-function createQueuedWork(request: WaitingRequest, order: number): QueuedWork {
+/** Describes a waiting request to the queue. */
+export function createWaitingWork(request: WaitingRequest, order: number): QueuedWork {
   const { id, service, account, arrivedAt, startBy, costMs, tokens } = request;
   const work: WorkDescription = {
     account,
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -19,7 +19,10 @@
 };
 
 await build({
-  entryPoints: { 'masticbend-entry': 'packages/gateway/src/main.ts' },
+  entryPoints: {
+    'masticbend-agent': 'packages/gateway/src/agent-main.ts',
+    'masticbend-entry': 'packages/gateway/src/main.ts',
+  },
   outdir: 'target',
   outExtension: { '.js': '.cjs' },
   bundle: true,
