--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -27,7 +27,9 @@
 /** Part of the objective in which a request must be sent, less the time to its first byte. */
 const WAIT_PART = 0.85;
 /** Least wait that a request is allowed, as a part of its objective. */
-const LEAST_WAIT_PART = 0.1;
+const LEAST_WAIT_PART = 0.25;
+/** Wait of a request whose first byte will be late in any case, likewise. */
+const LATE_WAIT_PART = 2;
 /** Time left to a backend server's own answer at the deadline, in milliseconds. */
 const DEADLINE_MARGIN_MS = 40;
 /** Interval of the check for requests that waited too long, in milliseconds. */
@@ -340,10 +342,12 @@
   function describeWaiting(state: RequestState) {
     const { id, service, account, tier, route, work, incoming } = state;
     const firstMs = board.estimateFirstMs(service, work);
-    const waitMs = Math.max(
-      route.objectiveMs * LEAST_WAIT_PART,
-      route.objectiveMs * WAIT_PART - firstMs,
-    );
+    const spareMs = route.objectiveMs * WAIT_PART - firstMs;
+    // What cannot meet its objective loses nothing more by waiting for a place.
+    const waitMs =
+      spareMs > 0
+        ? Math.max(route.objectiveMs * LEAST_WAIT_PART, spareMs)
+        : route.objectiveMs * LATE_WAIT_PART;
     const isRepeat = state.mayHaveRun > 0;
     const repeatBy = clock.now() + route.objectiveMs * REPEAT_WAIT_PART;
     return {
@@ -364,6 +368,7 @@
     refusedShare -= refusedShare * REFUSED_STEP;
     const refusal = checkAccessAgain(state);
     if (refusal) {
+      permits.release(entry.server.id, state.id);
       finishUnserved(state, refusal);
       return;
     }
@@ -666,7 +671,8 @@
         line.take(service, id);
         if (choice.kind === 'server' && choice.load) place(state);
         else if (choice.kind === 'server') sendToServer(state, choice.entry, choice.finishMs);
-        else finishUnserved(state, { kind: ErrorKind.NoBackendServer, retryAfterMs: OUTAGE_RETRY_MS });
+        else
+          finishUnserved(state, { kind: ErrorKind.NoBackendServer, retryAfterMs: OUTAGE_RETRY_MS });
       }
     }
   }
