--- a/packages/gateway/src/permit-client.ts
+++ b/packages/gateway/src/permit-client.ts
@@ -8,6 +8,7 @@
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import { createConnection, type Connection } from '@masticbend/protocol/connection';
 import type { PermitRequestMessage } from '@masticbend/protocol/message';
+import type { AgentLoad } from '@masticbend/scheduling/server-board';
 import { parseAddress } from '@masticbend/settings/address';
 import type { BackendServer } from '@masticbend/settings/routing';
 
@@ -18,12 +19,6 @@
 const DIAL_INTERVAL_MS = 400;
 const DIAL_LIMIT_MS = 400;
 
-/** What an agent last said of its server. */
-export interface PermitLoad {
-  held: number;
-  backlogMs: number;
-}
-
 /** Answers to wishes. */
 export interface PermitEvents {
   onPermit: (server: string, request: string) => void;
@@ -36,7 +31,7 @@
 export interface PermitClient {
   setServers: (servers: readonly BackendServer[]) => void;
   /** Returns the load of a server whose agent can be asked. */
-  findLoad: (server: string) => PermitLoad | undefined;
+  findLoad: (server: string) => AgentLoad | undefined;
   ask: (server: string, wish: Omit<PermitRequestMessage, 'kind'>) => void;
   release: (server: string, request: string) => void;
   /** Notes a request that was sent without a permit, and its end by `release`. */
@@ -63,7 +58,7 @@
   dialledAt: number;
   heardAt: number;
   usable: boolean;
-  load: PermitLoad;
+  load: AgentLoad;
   wishes: Set<string>;
   running: Set<string>;
 }
@@ -114,15 +109,15 @@
     });
   }
 
-  function receiveLoad(link: AgentLink, { held, backlogMs }: PermitLoad): void {
+  function receiveLoad(link: AgentLink, { held, firstWaitMs, lastWaitMs }: AgentLoad): void {
     link.heardAt = clock.now();
-    link.load = { held, backlogMs };
+    link.load = { held, firstWaitMs, lastWaitMs };
     if (link.usable) return;
     link.usable = true;
     log.info(LogEvent.AgentChanged, { server: link.server.id, usable: true, held });
   }
 
-  function receivePermit(link: AgentLink, request: string, load: PermitLoad): void {
+  function receivePermit(link: AgentLink, request: string, load: AgentLoad): void {
     receiveLoad(link, load);
     if (link.wishes.delete(request)) {
       link.running.add(request);
@@ -188,6 +183,8 @@
       const link = links.get(server);
       if (!link) return;
       link.wishes.add(wish.request);
+      // Until the agent's next word, so that several requests at once do not take the same place.
+      link.load.held += 1;
       link.connection?.send({ kind: 'permit-request', ...wish });
     },
     release(server, request) {
@@ -216,7 +213,7 @@
     dialledAt: -Infinity,
     heardAt: 0,
     usable: false,
-    load: { held: 0, backlogMs: 0 },
+    load: { held: 0, firstWaitMs: 0, lastWaitMs: 0 },
     wishes: new Set(),
     running: new Set(),
   };
--- a/packages/gateway/src/permit-server.ts
+++ b/packages/gateway/src/permit-server.ts
@@ -8,6 +8,7 @@
 import { createConnection, type Connection } from '@masticbend/protocol/connection';
 import type { Message } from '@masticbend/protocol/message';
 import { createPermitQueue, type PermitAnswer } from '@masticbend/scheduling/permit-queue';
+import type { AgentLoad } from '@masticbend/scheduling/server-board';
 import { parseAddress } from '@masticbend/settings/address';
 
 /** Interval of the check for wishes that waited too long, in milliseconds. */
@@ -87,21 +88,24 @@
 
   function sendAnswers(answers: readonly PermitAnswer[]): void {
     if (answers.length === 0) return;
-    const { held, backlogMs } = queue.report();
+    const load = describeLoad();
     for (const { owner, request, refusedWaitMs } of answers) {
-      const load = { request, held, backlogMs };
       const message: Message =
         refusedWaitMs === undefined
-          ? { kind: 'permit', ...load }
-          : { kind: 'permit-refusal', ...load, waitMs: refusedWaitMs };
+          ? { kind: 'permit', request, ...load }
+          : { kind: 'permit-refusal', request, ...load, waitMs: refusedWaitMs };
       owners.get(owner)?.send(message);
-      log.debug(LogEvent.PermitAnswered, { request, owner, held, backlogMs, refusedWaitMs });
+      log.debug(LogEvent.PermitAnswered, { request, owner, refusedWaitMs, ...load });
     }
   }
 
+  function describeLoad(): AgentLoad {
+    const { held, firstWaitMs, lastWaitMs } = queue.report();
+    return { held, firstWaitMs, lastWaitMs };
+  }
+
   function createReport(): Message {
-    const { held, backlogMs } = queue.report();
-    return { kind: 'permit-report', held, backlogMs };
+    return { kind: 'permit-report', ...describeLoad() };
   }
 
   function checkExpiry(): void {
@@ -134,11 +138,11 @@
       for (const connection of owners.values()) connection.close('stopping');
     },
     renderMetrics() {
-      const { held, waiting, backlogMs } = queue.report();
+      const { held, waiting, lastWaitMs } = queue.report();
       const gauges = {
         masticbend_permits_held: held,
         masticbend_permits_waiting: waiting,
-        masticbend_permits_backlog_ms: backlogMs,
+        masticbend_permits_wait_ms: lastWaitMs,
         masticbend_connected_entries: owners.size,
       };
       return Object.entries(gauges)
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -11,6 +11,7 @@
 import {
   countHeld,
   type AgentLoad,
+  type Choice,
   type PlacedWork,
   type ServerBoard,
   type ServerEntry,
@@ -248,13 +249,15 @@
   /** Sends a request to a backend server, asks its agent, or lets it wait, or refuses it. */
   function place(state: RequestState): void {
     const now = clock.now();
-    const excluded = new Set([...state.tried, ...state.asked]);
-    const { service, work } = state;
-    const choice = board.choose(now, service, work, excluded, permits.findLoad);
+    const { service } = state;
+    const choice = chooseServer(state);
     if (choice.kind === 'server' && choice.load) {
-      reserveBest(state, choice.entry, choice.load, excluded);
+      reserveBest(state, choice.entry, choice.load);
     } else if (choice.kind === 'none') {
       finishUnserved(state, createPlaceFailure(state));
+    } else if (choice.kind === 'full' && choice.waitMs !== undefined) {
+      const retryAfterMs = drawRetryMs(state, choice.waitMs);
+      finishUnserved(state, { kind: ErrorKind.Overloaded, retryAfterMs });
     } else if (choice.kind === 'server' && line.count(service) === 0) {
       sendToServer(state, choice.entry, choice.finishMs);
     } else {
@@ -263,6 +266,20 @@
     }
   }
 
+  function chooseServer(state: RequestState): Choice {
+    const now = clock.now();
+    const { service, work, tier, tried, asked, deadlineAt } = state;
+    return board.choose(now, {
+      service,
+      work,
+      tier,
+      excluded: new Set([...tried, ...asked]),
+      waitMs: describeWaiting(state).startBy - now,
+      leftMs: deadlineAt - now,
+      findLoad: permits.findLoad,
+    });
+  }
+
   function createPlaceFailure(state: RequestState): Failure {
     if (state.refusedWaitMs === undefined) {
       return { kind: ErrorKind.NoBackendServer, retryAfterMs: OUTAGE_RETRY_MS };
@@ -279,17 +296,10 @@
   }
 
   /** Asks the agent of the best server; where it would wait, that of the next best as well. */
-  function reserveBest(
-    state: RequestState,
-    best: ServerEntry,
-    load: AgentLoad,
-    excluded: Set<string>,
-  ): void {
+  function reserveBest(state: RequestState, best: ServerEntry, load: AgentLoad): void {
     reserveAt(state, best);
     if (load.held < best.server.slots || state.asked.size >= PARALLEL_ASKS) return;
-    excluded.add(best.server.id);
-    const { service, work } = state;
-    const second = board.choose(clock.now(), service, work, excluded, permits.findLoad);
+    const second = chooseServer(state);
     if (second.kind === 'server' && second.load) reserveAt(state, second.entry);
   }
 
@@ -660,13 +670,7 @@
       if (!state) {
         line.remove(service, id);
       } else {
-        const choice = board.choose(
-          clock.now(),
-          service,
-          state.work,
-          state.tried,
-          permits.findLoad,
-        );
+        const choice = chooseServer(state);
         if (choice.kind === 'full') return;
         line.take(service, id);
         if (choice.kind === 'server' && choice.load) place(state);
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -420,8 +420,9 @@
   kind: 'permit';
   request: string;
   held: number;
-  /** Time of the backend server that waiting requests need, in milliseconds. */
-  backlogMs: number;
+  /** Expected wait of a request of the highest and of the lowest tier, in milliseconds. */
+  firstWaitMs: number;
+  lastWaitMs: number;
 }
 
 /** Agent → entry: the request would wait too long, or has. */
@@ -431,7 +432,8 @@
   /** Wait that was expected, in milliseconds. */
   waitMs: number;
   held: number;
-  backlogMs: number;
+  firstWaitMs: number;
+  lastWaitMs: number;
 }
 
 /** Entry → agent: the request ended, or is no longer wanted here. */
@@ -444,7 +446,8 @@
 export interface PermitReportMessage {
   kind: 'permit-report';
   held: number;
-  backlogMs: number;
+  firstWaitMs: number;
+  lastWaitMs: number;
 }
 
 export type Message =
--- a/packages/protocol/src/shape.ts
+++ b/packages/protocol/src/shape.ts
@@ -163,10 +163,16 @@
     holdMs: isAmount,
     waitMs: isAmount,
   },
-  permit: { request: isText, held: isInteger, backlogMs: isAmount },
-  'permit-refusal': { request: isText, waitMs: isAmount, held: isInteger, backlogMs: isAmount },
+  permit: { request: isText, held: isInteger, firstWaitMs: isAmount, lastWaitMs: isAmount },
+  'permit-refusal': {
+    request: isText,
+    waitMs: isAmount,
+    held: isInteger,
+    firstWaitMs: isAmount,
+    lastWaitMs: isAmount,
+  },
   'permit-release': { request: isText },
-  'permit-report': { held: isInteger, backlogMs: isAmount },
+  'permit-report': { held: isInteger, firstWaitMs: isAmount, lastWaitMs: isAmount },
 };
 
 const KINDS = Object.keys(SHAPES) as MessageKind[];
--- a/packages/scheduling/src/permit-queue.ts
+++ b/packages/scheduling/src/permit-queue.ts
@@ -5,6 +5,7 @@
  */
 import { createQueue } from './queue.js';
 import type { QueuedWork } from './queued-work.js';
+import type { AgentLoad } from './server-board.js';
 import { createWaitingWork, TIERS } from './waiting-line.js';
 
 /** Requests sent ahead of a free place. */
@@ -44,7 +45,7 @@
   dropOwner: (now: number, owner: string) => PermitAnswer[];
   /** Refuses what has waited too long. */
   expire: (now: number) => PermitAnswer[];
-  report: () => { held: number; waiting: number; backlogMs: number };
+  report: () => AgentLoad & { waiting: number };
 }
 
 interface HeldPermit {
@@ -78,7 +79,7 @@
     return slots > 0 && held.size < slots + AHEAD;
   }
 
-  function sumBacklogMs(tier = TIERS): number {
+  function sumBacklogMs(tier: number): number {
     return queue
       .sumCostMsByTier()
       .slice(0, tier + 1)
@@ -106,7 +107,8 @@
       slots = next;
     },
     adopt(now, owner, requests) {
-      for (const request of requests) held.set(formatKey(owner, request), { owner, grantedAt: now });
+      for (const request of requests)
+        held.set(formatKey(owner, request), { owner, grantedAt: now });
     },
     request(now, owner, wish) {
       order += 1;
@@ -141,7 +143,15 @@
       }
       return answers;
     },
-    report: () => ({ held: held.size, waiting: queue.size(), backlogMs: sumBacklogMs() }),
+    report() {
+      const isFree = hasRoom() && queue.size() === 0;
+      return {
+        held: held.size,
+        waiting: queue.size(),
+        firstWaitMs: isFree ? 0 : estimateWaitMs(0, 0),
+        lastWaitMs: isFree ? 0 : estimateWaitMs(TIERS - 1, 0),
+      };
+    },
   };
 }
 
--- a/packages/scheduling/src/server-board.ts
+++ b/packages/scheduling/src/server-board.ts
@@ -23,6 +23,8 @@
 const DISTANCE_COST_MS = 4;
 /** Slow-down of an engine by each request beside, as a share of its pace. */
 const CROWDING = 0.03;
+/** Part of the time left in which a whole answer must be expected. */
+const IN_TIME_PART = 0.9;
 /** Requests sent ahead of a free place, so that an engine does not idle for a round trip. */
 const AHEAD = 1;
 
@@ -56,32 +58,40 @@
 /** What the agent beside a server says of it. */
 export interface AgentLoad {
   held: number;
-  /** Time of the server that waiting requests need, in milliseconds. */
-  backlogMs: number;
+  /** Expected wait of a request of the highest and of the lowest tier, in milliseconds. */
+  firstWaitMs: number;
+  lastWaitMs: number;
 }
 
 /** Returns the load of a server whose agent gives permits; undefined where there is none. */
 export type FindLoad = (server: string) => AgentLoad | undefined;
 
+/** A request looking for a server. */
+export interface PlaceQuery {
+  service: string;
+  work: PlacedWork;
+  tier: number;
+  /** Servers left out. */
+  excluded: ReadonlySet<string>;
+  /** Longest useful wait for a place, and time left to the whole answer, in milliseconds. */
+  waitMs: number;
+  leftMs: number;
+  findLoad?: FindLoad;
+}
+
 /** A choice of server, or why there is none. */
 export type Choice =
   /** `load` is present when the server's agent has to be asked. */
   | { kind: 'server'; entry: ServerEntry; finishMs: number; load?: AgentLoad }
-  /** Servers run, but all their places are taken. */
-  | { kind: 'full' }
+  /** All places are taken; `waitMs` is the least wait that an agent expects, if one was known. */
+  | { kind: 'full'; waitMs?: number }
   | { kind: 'none' };
 
 /** Board of all servers. Times are monotonic, in milliseconds. */
 export interface ServerBoard {
   /** Brings the board in line with the list; entries of the same incarnation keep their state. */
   setServers: (servers: readonly BackendServer[]) => void;
-  choose: (
-    now: number,
-    service: string,
-    work: PlacedWork,
-    tried: ReadonlySet<string>,
-    findLoad?: FindLoad,
-  ) => Choice;
+  choose: (now: number, query: PlaceQuery) => Choice;
   addRun: (entry: ServerEntry, work: PlacedWork) => void;
   removeRun: (entry: ServerEntry) => void;
   recordFirst: (entry: ServerEntry, work: PlacedWork, elapsedMs: number) => void;
@@ -145,24 +155,23 @@
       }
       entries = next;
     },
-    choose(now, service, work, tried, findLoad = findNoLoad) {
-      let best: (Extract<Choice, { kind: 'server' }> & { cost: number }) | undefined;
+    choose(now, query) {
+      const { service, excluded, findLoad = findNoLoad } = query;
+      let best: Candidate | undefined;
       let usable = 0;
+      let leastWaitMs: number | undefined;
       for (const entry of entries.values()) {
         const { server } = entry;
-        if (server.service === service && isUsable(now, entry) && !tried.has(server.id)) {
+        if (server.service === service && isUsable(now, entry) && !excluded.has(server.id)) {
           usable += 1;
           const load = findLoad(server.id);
-          const held = load?.held ?? countHeld(entry);
-          if (load || held < server.slots + AHEAD) {
-            const finishMs = estimateFinishMs(entry, work, held, load?.backlogMs);
-            const cost = finishMs + computePenaltyMs(entry, dataCentre);
-            if (!best || cost < best.cost) best = { kind: 'server', entry, finishMs, load, cost };
-          }
+          if (load) leastWaitMs = Math.min(leastWaitMs ?? Infinity, chooseWait(load, query.tier));
+          const candidate = describeCandidate(entry, query, load, dataCentre);
+          if (candidate && (!best || isBetter(candidate, best))) best = candidate;
         }
       }
-      if (best) return best;
-      return { kind: usable > 0 ? 'full' : 'none' };
+      if (!best) return usable > 0 ? { kind: 'full', waitMs: leastWaitMs } : { kind: 'none' };
+      return { kind: 'server', entry: best.entry, finishMs: best.finishMs, load: best.load };
     },
     addRun(entry, work) {
       entry.running += 1;
@@ -261,21 +270,55 @@
   return undefined;
 }
 
-function estimateFinishMs(
+/** A server that may take a request. */
+interface Candidate {
+  entry: ServerEntry;
+  load?: AgentLoad;
+  /** The whole answer is expected in the time left. */
+  inTime: boolean;
+  /** A place is free now. */
+  free: boolean;
+  finishMs: number;
+  cost: number;
+}
+
+function describeCandidate(
   entry: ServerEntry,
-  work: PlacedWork,
-  held: number,
-  backlogMs = 0,
-): number {
+  { work, tier, waitMs, leftMs }: PlaceQuery,
+  load: AgentLoad | undefined,
+  dataCentre: string,
+): Candidate | undefined {
+  const { slots } = entry.server;
+  const held = load?.held ?? countHeld(entry);
+  const free = held < slots + AHEAD;
+  const expectedWaitMs = free || !load ? 0 : chooseWait(load, tier);
+  if (!load && !free) return undefined;
+  if (expectedWaitMs > waitMs) return undefined;
+  const finishMs = estimateFinishMs(entry, work, held) + expectedWaitMs;
+  const cost = finishMs + computePenaltyMs(entry, dataCentre);
+  return { entry, load, inTime: finishMs <= leftMs * IN_TIME_PART, free, finishMs, cost };
+}
+
+/** Free servers that finish in time go first, then those in time after a wait, then the others. */
+function isBetter(candidate: Candidate, best: Candidate): boolean {
+  if (candidate.inTime !== best.inTime) return candidate.inTime;
+  if (candidate.free !== best.free) return candidate.free;
+  return candidate.cost < best.cost;
+}
+
+function chooseWait({ firstWaitMs, lastWaitMs }: AgentLoad, tier: number): number {
+  return tier === 0 ? firstWaitMs : lastWaitMs;
+}
+
+function estimateFinishMs(entry: ServerEntry, work: PlacedWork, held: number): number {
   const { slots } = entry.server;
-  const excess = Math.max(0, held + 1 - slots);
   if (work.events === 0) {
     const workMs = entry.workMs ?? INITIAL_WORK_MS;
+    const excess = Math.max(0, held + 1 - slots);
     return workMs * (1 + excess + (held / slots) * CROWDING);
   }
   const paceMs = (entry.paceMs ?? INITIAL_PACE_MS) * (1 + Math.min(held, slots) * CROWDING);
-  const waitMs = excess * paceMs + backlogMs / slots;
-  return estimateFirstMs(entry, work) + waitMs + paceMs * work.events;
+  return estimateFirstMs(entry, work) + paceMs * work.events;
 }
 
 /** Time to the first event, or to the whole answer of a plain service. */
