--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -389,6 +389,7 @@
   const board = kernel.find('board');
   const limits = kernel.find('limits');
   const members = kernel.find('members');
+  const permits = kernel.find('permits');
   let share = 0;
 
   /** The part of all entries that this one hears, itself included. */
@@ -407,7 +408,10 @@
     incarnation,
     clock,
     log,
-    describe: () => ({ running: board.listRunning(), admitted: limits.listAdmitted() }),
+    describe: () => ({
+      running: board.listRunning(permits.findLoad),
+      admitted: limits.listAdmitted(),
+    }),
     onReport(peer, { running, admitted }) {
       board.setPeerLoad(peer, running);
       for (const [account, units] of admitted) limits.receive(clock.now(), account, units);
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -11,7 +11,7 @@
 /** Table of the entries; the key is the instance name. */
 const MEMBERS_TABLE = 'entries';
 /** Time between renewals, and between reads of the table, in milliseconds. */
-const RENEWAL_MS = 2_000;
+const RENEWAL_MS = 2_500;
 /** Pause after a renewal that failed, in milliseconds. */
 const RETRY_MS = 300;
 /** Age of the last renewal from which an entry counts itself out, in milliseconds. */
--- a/packages/gateway/src/peer-mesh.ts
+++ b/packages/gateway/src/peer-mesh.ts
@@ -7,12 +7,16 @@
 import type { Clock } from '@masticbend/kernel/clock';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import { createConnection, type Connection } from '@masticbend/protocol/connection';
-import type { Message, PeerReportMessage } from '@masticbend/protocol/message';
+import type { PeerReportMessage } from '@masticbend/protocol/message';
 import { parseAddress } from '@masticbend/settings/address';
 import type { Member } from './members.js';
 
-/** Interval of reports while something changes, and at rest, in milliseconds. */
+/**
+ * Interval of reports while something changes, more of it for each peer so that the traffic grows
+ * with the number of entries and not its square, and the interval at rest, in milliseconds.
+ */
 const REPORT_INTERVAL_MS = 40;
+const PEER_INTERVAL_MS = 3;
 const REST_INTERVAL_MS = 200;
 /** Silence after which a peer no longer counts as heard, in milliseconds. */
 const HEARD_LIMIT_MS = 700;
@@ -72,7 +76,9 @@
   let server: Server | undefined;
   let stopRound = () => {};
   let lastSentAt = 0;
-  let lastText = '';
+  /** Units in the last report. */
+  let reportedUnits = new Map<string, number>();
+  let reportedRunning = '';
 
   function openConnection(socket: Socket): void {
     let peer: Peer | undefined;
@@ -89,7 +95,7 @@
       },
     });
     connection.send({ kind: 'peer-hello', instance: self.instance, incarnation });
-    connection.send(createReport());
+    connection.send(createReport(reportedUnits));
   }
 
   function addPeer(instance: string, peerIncarnation: string, connection: Connection): Peer {
@@ -119,27 +125,31 @@
   function receiveReport(peer: Peer, message: PeerReportMessage): void {
     peer.heardAt = clock.now();
     peer.heard = true;
-    const units = new Map(message.accounts.map((name, index) => [name, message.units[index] ?? 0]));
+    const isFirst = peer.units === undefined;
+    const units = peer.units ?? new Map<string, number>();
     const admitted = new Map<string, number>();
-    for (const [account, total] of units) {
+    message.accounts.forEach((account, index) => {
+      const total = message.units[index] ?? 0;
       // What a peer admitted before it was first heard was taken from its own part.
-      const before = peer.units ? (peer.units.get(account) ?? 0) : total;
+      const before = isFirst ? total : (units.get(account) ?? 0);
       if (total !== before) admitted.set(account, total - before);
-    }
+      units.set(account, total);
+    });
     peer.units = units;
     lastUnits.set(`${peer.instance} ${peer.incarnation}`, units);
     const running = new Map(message.servers.map((id, index) => [id, message.running[index] ?? 0]));
     onReport(peer.instance, { running, admitted });
   }
 
-  function createReport(): PeerReportMessage {
-    const { running, admitted } = describe();
+  /** Reports what runs, and the given totals of admitted units. */
+  function createReport(units: ReadonlyMap<string, number>): PeerReportMessage {
+    const { running } = describe();
     return {
       kind: 'peer-report',
       servers: [...running.keys()],
       running: [...running.values()],
-      accounts: [...admitted.keys()],
-      units: [...admitted.values()],
+      accounts: [...units.keys()],
+      units: [...units.values()],
     };
   }
 
@@ -177,12 +187,17 @@
     }
   }
 
+  /** Sends what changed since the last report; a new connection begins with all totals. */
   function sendReports(now: number): void {
-    if (peers.size === 0) return;
-    const report: Message = createReport();
-    const text = JSON.stringify(report);
-    if (text === lastText && now - lastSentAt < REST_INTERVAL_MS) return;
-    lastText = text;
+    const sinceMs = now - lastSentAt;
+    if (peers.size === 0 || sinceMs < REPORT_INTERVAL_MS + peers.size * PEER_INTERVAL_MS) return;
+    const { admitted } = describe();
+    const changed = [...admitted].filter(([name, units]) => units !== reportedUnits.get(name));
+    const report = createReport(new Map(changed));
+    const running = report.servers.join() + report.running.join();
+    if (changed.length === 0 && running === reportedRunning && sinceMs < REST_INTERVAL_MS) return;
+    reportedUnits = new Map(admitted);
+    reportedRunning = running;
     lastSentAt = now;
     for (const { connection } of peers.values()) connection.send(report);
   }
--- a/packages/gateway/src/table-feed.ts
+++ b/packages/gateway/src/table-feed.ts
@@ -8,7 +8,7 @@
 import type { ReadResult, Store, StoreRow, StoreRows } from '@masticbend/platform/store';
 
 /** Time between the starts of two reads, in milliseconds: bounds the calls to the store. */
-const READ_INTERVAL_MS = 400;
+const READ_INTERVAL_MS = 600;
 /** Longest wait of the store for a change, in milliseconds. */
 const CHANGE_WAIT_MS = 1_000;
 /** Bounds of the pause after a failed read, in milliseconds. */
--- a/packages/scheduling/src/permit-queue.ts
+++ b/packages/scheduling/src/permit-queue.ts
@@ -107,8 +107,7 @@
       slots = next;
     },
     adopt(now, owner, requests) {
-      for (const request of requests)
-        held.set(formatKey(owner, request), { owner, grantedAt: now });
+      for (const request of requests) held.set(formatKey(owner, request), { owner, grantedAt: now });
     },
     request(now, owner, wish) {
       order += 1;
--- a/packages/scheduling/src/server-board.ts
+++ b/packages/scheduling/src/server-board.ts
@@ -19,8 +19,8 @@
 const LONGEST_EJECTION_MS = 8_000;
 /** Penalty of a request that has to be repeated, for the share of requests that fail. */
 const FAILURE_COST_MS = 400;
-/** Penalty of a server in another data centre: the bytes that cross cost money. */
-const DISTANCE_COST_MS = 4;
+/** Penalty of a server in another data centre, whose bytes cost money: a part of the time taken. */
+const DISTANCE_PART = 0.25;
 /** Slow-down of an engine by each request beside, as a share of its pace. */
 const CROWDING = 0.03;
 /** Part of the time left in which a whole answer must be expected. */
@@ -105,8 +105,8 @@
   recordSilence: (now: number, entry: ServerEntry) => boolean;
   /** Sets what a peer runs on each server; servers it does not name have nothing of it. */
   setPeerLoad: (peer: string, running: ReadonlyMap<string, number>) => void;
-  /** Running requests of this instance by server id. */
-  listRunning: () => Map<string, number>;
+  /** Running requests of this instance by server id, for servers without an agent. */
+  listRunning: (findLoad: FindLoad) => Map<string, number>;
   find: (id: string) => ServerEntry | undefined;
   /** Expected time to the end of the answer with so many requests held. */
   estimateFinishMs: (entry: ServerEntry, work: PlacedWork, held: number) => number;
@@ -218,10 +218,9 @@
         else entry.peerRunning.delete(peer);
       }
     },
-    listRunning() {
-      const running = new Map<string, number>();
-      for (const [id, entry] of entries) if (entry.running > 0) running.set(id, entry.running);
-      return running;
+    listRunning(findLoad) {
+      const counted = [...entries].filter(([id, { running }]) => running > 0 && !findLoad(id));
+      return new Map(counted.map(([id, { running }]) => [id, running]));
     },
     find: (id) => entries.get(id),
     estimateFinishMs: (entry, work, held) => estimateFinishMs(entry, work, held),
@@ -295,7 +294,8 @@
   if (!load && !free) return undefined;
   if (expectedWaitMs > waitMs) return undefined;
   const finishMs = estimateFinishMs(entry, work, held) + expectedWaitMs;
-  const cost = finishMs + computePenaltyMs(entry, dataCentre);
+  const distance = entry.server.dataCentre === dataCentre ? 0 : DISTANCE_PART;
+  const cost = finishMs * (1 + distance) + entry.failureShare * FAILURE_COST_MS;
   return { entry, load, inTime: finishMs <= leftMs * IN_TIME_PART, free, finishMs, cost };
 }
 
@@ -328,11 +328,6 @@
   return thousands * (entry.readingMs ?? INITIAL_READING_MS);
 }
 
-function computePenaltyMs(entry: ServerEntry, dataCentre: string): number {
-  const distance = entry.server.dataCentre === dataCentre ? 0 : DISTANCE_COST_MS;
-  return entry.failureShare * FAILURE_COST_MS + distance;
-}
-
 function mergeEstimate(known: number | undefined, observed: number, step: number): number {
   return known === undefined ? observed : known + (observed - known) * step;
 }
