Take an answer without a length as broken also when its reset follows right after data

Node (libuv) turns a hang-up after a partial read into a regular end, so the reset never shows as an error; a write does show it. Ruled out: undici's own treatment of ECONNRESET, mended before. The test with a reset in the same turn of the loop failed before and passes now.

--- a/packages/gateway/src/backend-client.ts
+++ b/packages/gateway/src/backend-client.ts
@@ -2,7 +2,8 @@
  * Connections to backend servers and single exchanges over them. An exchange reports whether its
  * request was ever handed to a connection: before that it has certainly not run.
  */
-import { buildConnector, Pool, type Dispatcher } from 'undici';
+import type { Socket } from 'node:net';
+import { buildConnector, Client, Pool, type Dispatcher } from 'undici';
 import type { HeaderMap } from '@masticbend/platform/ingress';
 import type { BackendServer } from '@masticbend/settings/routing';
 
@@ -53,12 +54,21 @@
 
 /** Code given to a connection reset, since undici takes `ECONNRESET` as the end of an answer. */
 const RESET_CODE = 'RESET';
+/** Bytes that a server skips before a request; writing them shows whether a connection was reset. */
+const PROBE = '\r\n';
+
+/** What is known of the answer on one connection. */
+interface Link {
+  /** Its end is the end of the connection. */
+  endsWithConnection: boolean;
+}
+
+/** Options of a dispatch; the client that takes it notes its connection. */
+type LinkedOptions = Dispatcher.DispatchOptions & { link?: Link };
 
 /** Returns a client without connections. */
 export function createBackendClient(): BackendClient {
   const pools = new Map<string, Pool>();
-  const connect = createConnector();
-
   function findPool(server: BackendServer): Pool {
     const key = formatKey(server);
     let pool = pools.get(key);
@@ -66,7 +76,7 @@
       pool = new Pool(`http://${server.address}`, {
         connections: CONNECTIONS,
         pipelining: 1,
-        connect,
+        factory: createLinkedClient,
         keepAliveTimeout: IDLE_LIMIT_MS,
         keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
         headersTimeout: 0,
@@ -95,22 +105,51 @@
   };
 }
 
-/**
- * Connects as undici does, but an answer without a length that ends with a reset is a broken one:
- * undici would take it as whole.
- */
-function createConnector(): buildConnector.connector {
-  const connect = buildConnector({ timeout: CONNECT_LIMIT_MS });
+/** Creates a client of one connection that notes on each dispatch which connection it uses. */
+function createLinkedClient(origin: URL, options: object): Client {
+  const link: Link = { endsWithConnection: false };
+  const client = new Client(origin, { ...options, connect: createConnector(link) });
+  const dispatch = client.dispatch.bind(client);
+  client.dispatch = (dispatched: LinkedOptions, handler) => {
+    link.endsWithConnection = false;
+    dispatched.link = link;
+    return dispatch(dispatched, handler);
+  };
+  return client;
+}
+
+/** Connects as undici does, and keeps a reset from being taken as the end of an answer. */
+function createConnector(link: Link): buildConnector.connector {
+  const connect = buildConnector({ timeout: CONNECT_LIMIT_MS, allowHalfOpen: true });
   return (options, callback) =>
     connect(options, (...[error, socket]) => {
-      socket?.prependListener('error', (fault: NodeJS.ErrnoException) => {
+      if (error) {
+        callback(error, null);
+        return;
+      }
+      socket!.prependListener('error', (fault: NodeJS.ErrnoException) => {
         if (fault.code === 'ECONNRESET') fault.code = RESET_CODE;
       });
-      if (error) callback(error, null);
-      else callback(null, socket);
+      probeAtEnd(socket!, link);
+      callback(null, socket!);
     });
 }
 
+/**
+ * Node reports a reset that follows right after data as the end of the connection. Before an answer
+ * counts as ended by it, a write must still be accepted, which it is only after a regular end.
+ */
+function probeAtEnd(socket: Socket, link: Link): void {
+  const emit = socket.emit.bind(socket) as (event: string, ...values: unknown[]) => boolean;
+  socket.emit = (event: string | symbol, ...values: unknown[]) => {
+    if (event !== 'end' || !link.endsWithConnection) return emit(event as string, ...values);
+    socket.write(PROBE, (fault) => {
+      if (!fault) emit('end');
+    });
+    return true;
+  };
+}
+
 function startExchange(pool: Pool, request: ExchangeRequest, events: ExchangeEvents): Exchange {
   let controller: Dispatcher.DispatchController | undefined;
   let ended = false;
@@ -126,6 +165,7 @@
     onResponseStart(started, status, headers) {
       controller = started;
       if (ended || status < 200) return;
+      if (options.link) options.link.endsWithConnection = !isFramed(headers);
       events.onHead(status, headers);
       if (paused) started.pause();
     },
@@ -161,6 +201,11 @@
   };
 }
 
+/** Tells whether an answer says itself where it ends. */
+function isFramed(headers: HeaderMap): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+}
+
 /** A restarted server may keep its id and its address; its old connections are of no use. */
 function formatKey(server: BackendServer): string {
   return `${server.id} ${server.address} ${server.bornAt}`;
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -675,7 +675,8 @@
         line.take(service, id);
         if (choice.kind === 'server' && choice.load) place(state);
         else if (choice.kind === 'server') sendToServer(state, choice.entry, choice.finishMs);
-        else finishUnserved(state, { kind: ErrorKind.NoBackendServer, retryAfterMs: OUTAGE_RETRY_MS });
+        else
+          finishUnserved(state, { kind: ErrorKind.NoBackendServer, retryAfterMs: OUTAGE_RETRY_MS });
       }
     }
   }
--- a/packages/gateway/test/answers.test.ts
+++ b/packages/gateway/test/answers.test.ts
@@ -156,6 +156,11 @@
       setTimeout(() => socket.resetAndDestroy(), 20);
     });
     expect((await deployment.call('/once/a')).status).to.equal(502);
+    deployment.backends[0]!.script = ({ socket }) => {
+      socket.write('HTTP/1.1 200 OK\r\nX-Masticbend-Server-Stamp: s\r\n\r\npart');
+      setImmediate(() => socket.resetAndDestroy());
+    };
+    expect((await deployment.call('/once/a')).status).to.equal(502);
     expect(await deployment.call('/stream/a')).to.satisfy(
       ({ status, broken }: Reply) => status !== 200 || broken === true,
     );
--- a/packages/gateway/test/backend.ts
+++ b/packages/gateway/test/backend.ts
@@ -22,7 +22,7 @@
   close: () => Promise<void>;
 }
 
-export async function startBackend(script: Script): Promise<ScriptedBackend> {
+export async function startBackend(script: Script, host = '127.0.0.1'): Promise<ScriptedBackend> {
   const sockets = new Set<Socket>();
   const arrivals: Arrival[] = [];
   const state = { script };
@@ -46,10 +46,10 @@
     });
   });
   await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
+    server.listen(0, host, resolve);
   });
   return {
-    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    address: `${host}:${(server.address() as AddressInfo).port}`,
     arrivals,
     get script() {
       return state.script;
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -80,9 +80,10 @@
   broken?: boolean;
 }
 
-export async function startDeployment(scripts: Script[]): Promise<Deployment> {
+/** Starts an entry before backend servers that listen on `host`. */
+export async function startDeployment(scripts: Script[], host = '127.0.0.1'): Promise<Deployment> {
   const store = await startStoreStandIn();
-  const backends = await Promise.all(scripts.map(startBackend));
+  const backends = await Promise.all(scripts.map((script) => startBackend(script, host)));
   const settings = await createSettings(store.address);
   const gateway = createGateway(settings);
 
--- a/packages/scheduling/src/permit-queue.ts
+++ b/packages/scheduling/src/permit-queue.ts
@@ -107,7 +107,8 @@
       slots = next;
     },
     adopt(now, owner, requests) {
-      for (const request of requests) held.set(formatKey(owner, request), { owner, grantedAt: now });
+      for (const request of requests)
+        held.set(formatKey(owner, request), { owner, grantedAt: now });
     },
     request(now, owner, wish) {
       order += 1;
--- /dev/null
+++ b/packages/scheduling/test/server-board.test.ts
@@ -0,0 +1,132 @@
+/** Load patterns of placement: unlike engines, some full, some slow, some far away or failing. */
+import { expect } from 'chai';
+import { ServerState, type BackendServer } from '@masticbend/settings/routing';
+import {
+  createServerBoard,
+  type AgentLoad,
+  type PlaceQuery,
+  type ServerBoard,
+} from '../src/server-board.js';
+
+const SLOTS = 4;
+const FAST_MS = 10;
+const SLOW_MS = 100;
+const LEFT_MS = 10_000;
+
+function createServer(id: string, changes: Partial<BackendServer> = {}): BackendServer {
+  return {
+    id,
+    bornAt: 1,
+    service: 'engine',
+    address: '10.0.0.1:80',
+    dataCentre: 'near',
+    slots: SLOTS,
+    state: ServerState.Ready,
+    coldMs: 0,
+    ...changes,
+  };
+}
+
+/** A board of two engines, one ten times as fast as the other. */
+function createBoard(changes: Partial<BackendServer> = {}): ServerBoard {
+  const board = createServerBoard('near');
+  board.setServers([createServer('fast', changes), createServer('slow')]);
+  board.recordPace(board.find('fast')!, FAST_MS);
+  board.recordPace(board.find('slow')!, SLOW_MS);
+  return board;
+}
+
+function createQuery(changes: Partial<PlaceQuery> = {}): PlaceQuery {
+  return {
+    service: 'engine',
+    work: { promptTokens: 1_000, events: 50 },
+    tier: 0,
+    excluded: new Set(),
+    waitMs: 300,
+    leftMs: LEFT_MS,
+    ...changes,
+  };
+}
+
+function chooseId(board: ServerBoard, query: PlaceQuery, now = 0): string {
+  const choice = board.choose(now, query);
+  return choice.kind === 'server' ? choice.entry.server.id : choice.kind;
+}
+
+function loadsOf(loads: Record<string, Partial<AgentLoad>>) {
+  return (id: string): AgentLoad | undefined =>
+    loads[id] && { held: 0, firstWaitMs: 0, lastWaitMs: 0, ...loads[id] };
+}
+
+const FULL = { held: SLOTS + 1, firstWaitMs: 100, lastWaitMs: 900 };
+
+describe('server board', () => {
+  it('chooses the server that finishes first', () => {
+    expect(chooseId(createBoard(), createQuery())).to.equal('fast');
+  });
+
+  it('uses a slow server that is free before a fast one that is full', () => {
+    const findLoad = loadsOf({ fast: FULL, slow: { held: 1 } });
+    expect(chooseId(createBoard(), createQuery({ findLoad }))).to.equal('slow');
+  });
+
+  it('waits for the fast server where the slow one cannot finish in time', () => {
+    const findLoad = loadsOf({ fast: FULL, slow: { held: 1 } });
+    const work = { promptTokens: 1_000, events: 400 };
+    expect(chooseId(createBoard(), createQuery({ findLoad, work }))).to.equal('fast');
+  });
+
+  it('says full, with the least wait, where every wait is too long for the tier', () => {
+    const findLoad = loadsOf({ fast: FULL, slow: { ...FULL, lastWaitMs: 700 } });
+    expect(createBoard().choose(0, createQuery({ findLoad, tier: 1 }))).to.deep.equal({
+      kind: 'full',
+      waitMs: 700,
+    });
+    expect(chooseId(createBoard(), createQuery({ findLoad }))).to.equal('fast');
+  });
+
+  it('counts its own and its peers’ requests where no agent does', () => {
+    const board = createBoard();
+    board.setPeerLoad('peer', new Map([['fast', SLOTS]]));
+    board.addRun(board.find('fast')!, { promptTokens: 0, events: 1 });
+    expect(chooseId(board, createQuery())).to.equal('slow');
+    board.setPeerLoad('peer', new Map());
+    expect(chooseId(board, createQuery())).to.equal('fast');
+  });
+
+  it('prefers the own data centre among equals, not against a much faster server', () => {
+    const equal = createServerBoard('near');
+    equal.setServers([createServer('far', { dataCentre: 'away' }), createServer('close')]);
+    expect(chooseId(equal, createQuery())).to.equal('close');
+    expect(chooseId(createBoard({ dataCentre: 'away' }), createQuery())).to.equal('fast');
+  });
+
+  it('leaves out servers that leave, and those that were silent twice, for a while', () => {
+    const board = createBoard();
+    const fast = board.find('fast')!;
+    expect(board.recordSilence(0, fast)).to.equal(false);
+    expect(board.recordSilence(0, fast)).to.equal(true);
+    expect(chooseId(board, createQuery(), 500)).to.equal('slow');
+    expect(chooseId(board, createQuery(), 1_500)).to.equal('fast');
+    board.setServers([
+      createServer('fast', { state: ServerState.Leaving }),
+      createServer('slow', { state: ServerState.Leaving }),
+    ]);
+    expect(chooseId(board, createQuery(), 1_500)).to.equal('none');
+  });
+
+  it('turns from a server that fails part of its requests', () => {
+    const board = createServerBoard('near');
+    board.setServers([createServer('grey'), createServer('good')]);
+    for (let count = 0; count < 10; count += 1) board.recordFailure(board.find('grey')!);
+    expect(chooseId(board, createQuery())).to.equal('good');
+  });
+
+  it('forgets what it learned of a server that started anew under the same id', () => {
+    const board = createBoard();
+    board.recordSilence(0, board.find('fast')!);
+    board.recordSilence(0, board.find('fast')!);
+    board.setServers([createServer('fast', { bornAt: 2 }), createServer('slow')]);
+    expect(chooseId(board, createQuery({ excluded: new Set(['slow']) }))).to.equal('fast');
+  });
+});
