--- a/packages/gateway/src/backend-client.ts
+++ b/packages/gateway/src/backend-client.ts
@@ -155,7 +155,13 @@
   let ended = false;
   let paused = false;
 
-  const options = { ...request, method: request.method };
+  const { method, path, headers: names, body } = request;
+  const options: LinkedOptions = {
+    method: method as Dispatcher.HttpMethod,
+    path,
+    headers: names,
+    body,
+  };
   pool.dispatch(options, {
     onRequestStart(started) {
       controller = started;
