--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -13,7 +13,7 @@
   type HeaderMap,
 } from '@masticbend/platform/ingress';
 import type { BackendServer } from '@masticbend/settings/routing';
-import type { BackendClient, Exchange } from './backend-client.js';
+import type { BackendClient, Exchange, ExchangeRequest } from './backend-client.js';
 import type { Delivery } from './delivery.js';
 import { createEventSplitter } from './event-splitter.js';
 
@@ -36,7 +36,7 @@
 /** What an attempt needs to know. */
 export interface AttemptRequest {
   requestId: string;
-  method: string;
+  method: ExchangeRequest['method'];
   target: string;
   rawHeaders: readonly string[];
   body: Buffer;
--- a/packages/gateway/src/backend-client.ts
+++ b/packages/gateway/src/backend-client.ts
@@ -30,7 +30,7 @@
 
 /** Request as a backend server is to see it. */
 export interface ExchangeRequest {
-  method: string;
+  method: Dispatcher.HttpMethod;
   path: string;
   headers: string[];
   body: Buffer | null;
@@ -54,7 +54,7 @@
 
 /** Code given to a connection reset, since undici takes `ECONNRESET` as the end of an answer. */
 const RESET_CODE = 'RESET';
-/** Bytes that a server skips before a request; writing them shows whether a connection was reset. */
+/** Code given to a connection reset; undici takes `ECONNRESET` as the end of an answer. */
 const PROBE = '\r\n';
 
 /** What is known of the answer on one connection. */
@@ -125,13 +125,13 @@
     connect(options, (...[error, socket]) => {
       if (error) {
         callback(error, null);
-        return;
+      } else if (socket) {
+        socket.prependListener('error', (fault: NodeJS.ErrnoException) => {
+          if (fault.code === 'ECONNRESET') fault.code = RESET_CODE;
+        });
+        probeAtEnd(socket, link);
+        callback(null, socket);
       }
-      socket!.prependListener('error', (fault: NodeJS.ErrnoException) => {
-        if (fault.code === 'ECONNRESET') fault.code = RESET_CODE;
-      });
-      probeAtEnd(socket!, link);
-      callback(null, socket!);
     });
 }
 
@@ -155,13 +155,7 @@
   let ended = false;
   let paused = false;
 
-  const { method, path, headers: names, body } = request;
-  const options: LinkedOptions = {
-    method: method as Dispatcher.HttpMethod,
-    path,
-    headers: names,
-    body,
-  };
+  const options: LinkedOptions = { ...request };
   pool.dispatch(options, {
     onRequestStart(started) {
       controller = started;
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -11,6 +11,7 @@
 import { ErrorKind, type Failure } from '@masticbend/protocol/error';
 import type { CallerLimits } from '@masticbend/settings/routing';
 import { parseAddress } from '@masticbend/settings/address';
+import type { ExchangeRequest } from './backend-client.js';
 import { createDelivery } from './delivery.js';
 import type { Requests } from './requests.js';
 
@@ -90,7 +91,7 @@
     if (stopping && !response.headersSent) response.setHeader('connection', 'close');
     requests.accept(
       {
-        method: request.method ?? 'GET',
+        method: (request.method ?? 'GET') as ExchangeRequest['method'],
         target: request.url ?? '/',
         host: request.headers.host ?? '',
         rawHeaders: request.rawHeaders,
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -20,7 +20,7 @@
 import type { WaitingLine } from '@masticbend/scheduling/waiting-line';
 import { Repeat, type GatewayAccount, type GatewayRoute } from '@masticbend/settings/routing';
 import { startAttempt, type Attempt, type AttemptResult } from './attempt.js';
-import type { BackendClient } from './backend-client.js';
+import type { BackendClient, ExchangeRequest } from './backend-client.js';
 import type { ConfigurationView } from './configuration-view.js';
 import type { Delivery } from './delivery.js';
 import type { PermitClient } from './permit-client.js';
@@ -61,7 +61,7 @@
 
 /** A request as it came in. */
 export interface IncomingRequest {
-  method: string;
+  method: ExchangeRequest['method'];
   /** Path with query, as sent. */
   target: string;
   host: string;
@@ -673,10 +673,9 @@
         const choice = chooseServer(state);
         if (choice.kind === 'full') return;
         line.take(service, id);
-        if (choice.kind === 'server' && choice.load) place(state);
-        else if (choice.kind === 'server') sendToServer(state, choice.entry, choice.finishMs);
-        else
-          finishUnserved(state, { kind: ErrorKind.NoBackendServer, retryAfterMs: OUTAGE_RETRY_MS });
+        if (choice.kind === 'none') finishUnserved(state, createPlaceFailure(state));
+        else if (choice.load) place(state);
+        else sendToServer(state, choice.entry, choice.finishMs);
       }
     }
   }
