--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -37,6 +37,8 @@
 const FRESHNESS_PART = 0.97;
 /** Age of the last read from which an entry asks for no new callers, as a part of the same. */
 const READINESS_PART = 0.6;
+/** Part of the time allowed for a change after which the store is read again at the latest. */
+const READ_INTERVAL_PART = 0.4;
 /** Time after SIGTERM until the balancer has surely noticed, in milliseconds. */
 const LAME_DUCK_MS = 2_600;
 /** Part of the grace period after which the process leaves whatever still runs. */
@@ -98,7 +100,7 @@
   kernel.provide('board', () => createServerBoard(settings.dataCentre));
   kernel.provide('limits', createSharedLimits);
   kernel.provide('view', () => createViewService(kernel, settings, getElapsed));
-  kernel.provide('servers', () => createServersService(kernel, getElapsed));
+  kernel.provide('servers', () => createServersService(kernel, settings, getElapsed));
   kernel.provide('requests', () => createRequestsService(kernel, settings));
   kernel.provide('permits', () => createPermitsService(kernel, settings));
   kernel.provide('members', () => createMembersService(kernel, settings, incarnation, getElapsed));
@@ -166,7 +168,7 @@
   getElapsed: () => number,
 ): ViewService & Lifecycle {
   const log = kernel.find('log');
-  const { keyFreshnessMs } = settings.bounds;
+  const { keyFreshnessMs, configurationMs } = settings.bounds;
   let view: ConfigurationView | undefined;
   let wereFresh = false;
 
@@ -196,6 +198,7 @@
   }
 
   const feed = createTableFeed({
+    intervalMs: configurationMs * READ_INTERVAL_PART,
     store: kernel.find('store'),
     table: CONFIGURATION_TABLE,
     clock: kernel.find('clock'),
@@ -248,6 +251,7 @@
 
 function createServersService(
   kernel: Kernel<GatewayServices>,
+  { bounds }: GatewaySettings,
   getElapsed: () => number,
 ): TableFeed & Lifecycle {
   const log = kernel.find('log');
@@ -294,6 +298,7 @@
   }
 
   const feed = createTableFeed({
+    intervalMs: bounds.leavingMs * READ_INTERVAL_PART,
     store: kernel.find('store'),
     table: SERVERS_TABLE,
     clock,
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -11,7 +11,6 @@
 import { ErrorKind, type Failure } from '@masticbend/protocol/error';
 import type { CallerLimits } from '@masticbend/settings/routing';
 import { parseAddress } from '@masticbend/settings/address';
-import type { ExchangeRequest } from './backend-client.js';
 import { createDelivery } from './delivery.js';
 import type { Requests } from './requests.js';
 
@@ -91,7 +90,7 @@
     if (stopping && !response.headersSent) response.setHeader('connection', 'close');
     requests.accept(
       {
-        method: (request.method ?? 'GET') as ExchangeRequest['method'],
+        method: request.method ?? 'GET',
         target: request.url ?? '/',
         host: request.headers.host ?? '',
         rawHeaders: request.rawHeaders,
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -353,11 +353,7 @@
     const { id, service, account, tier, route, work, incoming } = state;
     const firstMs = board.estimateFirstMs(service, work);
     const spareMs = route.objectiveMs * WAIT_PART - firstMs;
-    // What cannot meet its objective loses nothing more by waiting for a place.
-    const waitMs =
-      spareMs > 0
-        ? Math.max(route.objectiveMs * LEAST_WAIT_PART, spareMs)
-        : route.objectiveMs * LATE_WAIT_PART;
+    const waitMs = chooseWait(route, spareMs);
     const isRepeat = state.mayHaveRun > 0;
     const repeatBy = clock.now() + route.objectiveMs * REPEAT_WAIT_PART;
     return {
@@ -372,6 +368,12 @@
     };
   }
 
+  /** What cannot meet its objective loses nothing more by waiting for a place. */
+  function chooseWait({ objectiveMs }: GatewayRoute, spareMs: number): number {
+    if (spareMs <= 0) return objectiveMs * LATE_WAIT_PART;
+    return Math.max(objectiveMs * LEAST_WAIT_PART, spareMs);
+  }
+
   function sendToServer(state: RequestState, entry: ServerEntry, finishMs: number): void {
     const { incoming, delivery, route, account, work } = state;
     const now = clock.now();
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -8,6 +8,9 @@
   graceS: number;
   /** Age of the last confirmed read from which a request with a key is refused, in milliseconds. */
   keyFreshnessMs: number;
+  /** Time in which a new configuration is in force, and a leaving server gets nothing new. */
+  configurationMs: number;
+  leavingMs: number;
   /** Repeats over all instances: a share of the requests, a number more, and the window. */
   repeatRatio: number;
   repeatSlack: number;
@@ -78,6 +81,8 @@
 const BOUND_FIELDS: Readonly<Record<keyof GatewayBounds, Check>> = {
   graceS: checkAmount,
   keyFreshnessMs: checkAmount,
+  configurationMs: checkAmount,
+  leavingMs: checkAmount,
   repeatRatio: checkAmount,
   repeatSlack: checkAmount,
   repeatWindowS: checkAmount,
--- a/packages/gateway/src/table-feed.ts
+++ b/packages/gateway/src/table-feed.ts
@@ -7,8 +7,6 @@
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import type { ReadResult, Store, StoreRow, StoreRows } from '@masticbend/platform/store';
 
-/** Time between the starts of two reads, in milliseconds: bounds the calls to the store. */
-const READ_INTERVAL_MS = 600;
 /** Longest wait of the store for a change, in milliseconds. */
 const CHANGE_WAIT_MS = 1_000;
 /** Bounds of the pause after a failed read, in milliseconds. */
@@ -36,6 +34,8 @@
 
 /** What a feed needs. */
 export interface FeedOptions {
+  /** Least time between the starts of two reads, in milliseconds: bounds the calls to the store. */
+  intervalMs: number;
   store: Pick<Store, 'readRows' | 'readChanges'>;
   table: string;
   clock: Clock;
@@ -47,7 +47,7 @@
 
 /** Returns a feed that has not read anything. */
 export function createTableFeed(options: FeedOptions): TableFeed {
-  const { store, table, clock, getElapsed, log, events } = options;
+  const { intervalMs, store, table, clock, getElapsed, log, events } = options;
   let revision: number | undefined;
   let confirmedAt: number | undefined;
   let failures = 0;
@@ -98,7 +98,7 @@
     }
     recordAnswer(sentAt);
     applyRows(result.rows);
-    return Math.max(0, READ_INTERVAL_MS - (getElapsed() - sentAt));
+    return Math.max(0, intervalMs - (getElapsed() - sentAt));
   }
 
   async function run(): Promise<void> {
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -180,6 +180,8 @@
     bounds: {
       graceS: 6,
       keyFreshnessMs: 2_500,
+      configurationMs: 2_000,
+      leavingMs: 2_000,
       repeatRatio: 0.2,
       repeatSlack: 60,
       repeatWindowS: 10,
