--- a/packages/gateway/src/program.ts
+++ b/packages/gateway/src/program.ts
@@ -2,6 +2,7 @@
 import { readFileSync } from 'node:fs';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import { SETTINGS_VARIABLE } from '@masticbend/platform/settings';
+import { printExplanation } from './explain.js';
 import { readSettings, type ParseSettings } from './settings.js';
 
 /** Exit codes. */
@@ -25,13 +26,21 @@
   create: (settings: Settings) => Runnable;
 }
 
-/** Runs a program by its command line: `[--check] [SETTINGS]`. */
+const COMMAND_EXPLAIN = 'explain';
+
+/** Runs a program by its command line: `[--check] [SETTINGS]`, or `explain ID FILE...`. */
 export function runProgram<Settings>(program: Program<Settings>): void {
   const words = process.argv.slice(2);
+  const [command, id, ...files] = words;
+  if (command === COMMAND_EXPLAIN && id !== undefined && files.length > 0) {
+    process.exitCode = printExplanation(id, files);
+    return;
+  }
   const path = words.find((word) => !word.startsWith('--')) ?? process.env[SETTINGS_VARIABLE];
   const unknown = words.find((word) => word.startsWith('--') && word !== '--check');
-  if (path === undefined || unknown !== undefined) {
+  if (path === undefined || unknown !== undefined || command === COMMAND_EXPLAIN) {
     process.stderr.write(`usage: ${program.name} [--check] [SETTINGS]\n`);
+    process.stderr.write(`       ${program.name} explain REQUEST-ID LOG-FILE...\n`);
     process.stderr.write(`SETTINGS defaults to the path in ${SETTINGS_VARIABLE}\n`);
     process.exitCode = EXIT_USAGE;
   } else if (words.includes('--check')) {
--- /dev/null
+++ b/packages/gateway/test/event-splitter.test.ts
@@ -0,0 +1,39 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { createEventSplitter } from '../src/event-splitter.js';
+
+const SEED = 7;
+const STREAM = 'id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n: note\n\nid: 30\ndata: c\n\n';
+
+describe('event splitter', () => {
+  it('passes whole events only, wherever the stream is cut', () => {
+    fc.assert(
+      fc.property(fc.array(fc.integer({ min: 1, max: 9 }), { minLength: 80 }), (sizes) => {
+        const splitter = createEventSplitter();
+        let passed = '';
+        let count = 0;
+        let lastId: string | undefined;
+        let start = 0;
+        for (const size of sizes) {
+          const whole = splitter.push(Buffer.from(STREAM.slice(start, start + size)));
+          start += size;
+          if (whole) {
+            expect(whole.bytes.toString()).to.match(/\n\r?\n$/);
+            passed += whole.bytes.toString();
+            count += whole.count;
+            lastId = whole.lastId ?? lastId;
+          }
+        }
+        expect({ passed, count, lastId }).to.deep.equal({ passed: STREAM, count: 4, lastId: '30' });
+      }),
+      { seed: SEED, numRuns: 100 },
+    );
+  });
+
+  it('keeps a torn event back', () => {
+    const splitter = createEventSplitter();
+    expect(splitter.push(Buffer.from('id: 1\ndata: to'))).to.equal(undefined);
+    expect(splitter.takeRest().toString()).to.equal('id: 1\ndata: to');
+    expect(splitter.takeRest().length).to.equal(0);
+  });
+});
--- /dev/null
+++ b/packages/gateway/test/settings.test.ts
@@ -0,0 +1,48 @@
+/** The templates that the platform fills in must give settings that the programs take. */
+import { readFileSync } from 'node:fs';
+import { expect } from 'chai';
+import { parseAgentSettings, parseGatewaySettings } from '../src/settings.js';
+
+/** Values that the platform fills in, as its pages show them. */
+const VALUES: Record<string, string> = {
+  node_name: 'edge-1',
+  zone: 'ota',
+  ip: '10.1.0.25',
+  'listen.front': '10.1.0.25:8221',
+  'listen.ready': '10.1.0.25:8224',
+  'internal_ports.0': '7600',
+  'internal_ports.1': '7615',
+  'platform.address': '10.200.1.7:8225',
+  'bounds.grace_s': '8',
+  'bounds.revoke_ms': '5000',
+  'bounds.config_apply_ms': '2000',
+  'bounds.drain_ms': '2000',
+  'bounds.retry_budget_ratio': '0.2',
+  'bounds.retry_budget_slack': '58',
+  'bounds.budget_window_s': '10',
+};
+
+function renderTemplate(name: string): string {
+  const template = readFileSync(new URL(`../../../platform/${name}`, import.meta.url), 'utf8');
+  return template.replace(/\{\{([\w.]+)\}\}/g, (_all, key: string) => {
+    const value = VALUES[key];
+    if (value === undefined) throw new Error(`the template asks for "${key}"`);
+    return value;
+  });
+}
+
+describe('settings on the platform', () => {
+  it('are what the entry takes', () => {
+    expect(parseGatewaySettings(renderTemplate('entry.template.toml'))).toMatchSnapshot();
+  });
+
+  it('are what the agent takes', () => {
+    expect(parseAgentSettings(renderTemplate('agent.template.toml'))).toMatchSnapshot();
+  });
+
+  it('name every fault at once', () => {
+    const text = 'instance = ""\nport = 3\n[bounds]\ngraceS = "8"\nkeyFreshness = 1\n';
+    expect(parseGatewaySettings(text)).toMatchSnapshot();
+    expect(parseGatewaySettings('instance = ')).toMatchSnapshot();
+  });
+});
--- a/packages/scheduling/src/permit-queue.ts
+++ b/packages/scheduling/src/permit-queue.ts
@@ -107,8 +107,9 @@
       slots = next;
     },
     adopt(now, owner, requests) {
-      for (const request of requests)
+      for (const request of requests) {
         held.set(formatKey(owner, request), { owner, grantedAt: now });
+      }
     },
     request(now, owner, wish) {
       order += 1;
--- a/packages/scheduling/test/permit-queue.test.ts
+++ b/packages/scheduling/test/permit-queue.test.ts
@@ -29,7 +29,7 @@
 }
 
 /** Fills every place with requests of one entry. */
-function fillPlaces(queue: PermitQueue): void {
+function reserveAll(queue: PermitQueue): void {
   for (let index = 0; index < SLOTS + AHEAD; index += 1) {
     expect(listGranted(queue.request(0, 'e0', createWish(`held-${index}`)))).to.have.length(1);
   }
@@ -38,7 +38,7 @@
 describe('permit queue', () => {
   it('gives as many permits as the server runs together, and one ahead', () => {
     const queue = createReadyQueue();
-    fillPlaces(queue);
+    reserveAll(queue);
     expect(queue.request(0, 'e1', createWish('next'))).to.deep.equal([]);
     expect(queue.report()).to.include({ held: SLOTS + AHEAD, waiting: 1 });
     expect(listGranted(queue.release(10, 'e0', 'held-0'))).to.deep.equal(['e1/next']);
@@ -46,7 +46,7 @@
 
   it('gives the next place to the highest tier of all entries', () => {
     const queue = createReadyQueue();
-    fillPlaces(queue);
+    reserveAll(queue);
     queue.request(0, 'e1', createWish('low', 2));
     queue.request(1, 'e2', createWish('high', 0));
     queue.request(2, 'e1', createWish('middle', 1));
@@ -58,7 +58,7 @@
 
   it('shares places between accounts of a tier', () => {
     const queue = createReadyQueue();
-    fillPlaces(queue);
+    reserveAll(queue);
     for (let index = 0; index < 4; index += 1) {
       queue.request(index, 'e1', createWish(`big-${index}`, 0, WAIT_MS, 'big'));
     }
@@ -69,7 +69,7 @@
 
   it('refuses at once what would wait too long, with the wait', () => {
     const queue = createReadyQueue();
-    fillPlaces(queue);
+    reserveAll(queue);
     const [answer] = queue.request(0, 'e1', createWish('hurried', 0, 50));
     expect(answer?.refusedWaitMs).to.equal(HOLD_MS / SLOTS);
     expect(queue.report().waiting).to.equal(0);
@@ -77,7 +77,7 @@
 
   it('refuses what has waited too long', () => {
     const queue = createReadyQueue();
-    fillPlaces(queue);
+    reserveAll(queue);
     queue.request(0, 'e1', createWish('patient', 0, 300));
     expect(queue.expire(299)).to.deep.equal([]);
     expect(queue.expire(300)).to.have.length(1);
@@ -86,7 +86,7 @@
 
   it('frees the places of an entry that is gone, and takes in what one already runs', () => {
     const queue = createReadyQueue();
-    fillPlaces(queue);
+    reserveAll(queue);
     queue.request(0, 'e1', createWish('next'));
     expect(listGranted(queue.dropOwner(10, 'e0'))).to.deep.equal(['e1/next']);
     queue.adopt(20, 'e0', ['old-1', 'old-2', 'old-3', 'old-4', 'old-5']);
--- a/packages/scheduling/test/server-board.test.ts
+++ b/packages/scheduling/test/server-board.test.ts
@@ -53,7 +53,7 @@
   return choice.kind === 'server' ? choice.entry.server.id : choice.kind;
 }
 
-function loadsOf(loads: Record<string, Partial<AgentLoad>>) {
+function createLoads(loads: Record<string, Partial<AgentLoad>>) {
   return (id: string): AgentLoad | undefined =>
     loads[id] && { held: 0, firstWaitMs: 0, lastWaitMs: 0, ...loads[id] };
 }
@@ -66,18 +66,18 @@
   });
 
   it('uses a slow server that is free before a fast one that is full', () => {
-    const findLoad = loadsOf({ fast: FULL, slow: { held: 1 } });
+    const findLoad = createLoads({ fast: FULL, slow: { held: 1 } });
     expect(chooseId(createBoard(), createQuery({ findLoad }))).to.equal('slow');
   });
 
   it('waits for the fast server where the slow one cannot finish in time', () => {
-    const findLoad = loadsOf({ fast: FULL, slow: { held: 1 } });
+    const findLoad = createLoads({ fast: FULL, slow: { held: 1 } });
     const work = { promptTokens: 1_000, events: 400 };
     expect(chooseId(createBoard(), createQuery({ findLoad, work }))).to.equal('fast');
   });
 
   it('says full, with the least wait, where every wait is too long for the tier', () => {
-    const findLoad = loadsOf({ fast: FULL, slow: { ...FULL, lastWaitMs: 700 } });
+    const findLoad = createLoads({ fast: FULL, slow: { ...FULL, lastWaitMs: 700 } });
     expect(createBoard().choose(0, createQuery({ findLoad, tier: 1 }))).to.deep.equal({
       kind: 'full',
       waitMs: 700,
--- /dev/null
+++ b/scripts/start-cost.mjs
@@ -0,0 +1,52 @@
+// Prints the processor time and memory that the bundled entry has used once it listens.
+import { spawn } from 'node:child_process';
+import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import process from 'node:process';
+
+/** Processor time of a tick in /proc, in milliseconds. */
+const TICK_MS = 10;
+const RUNS = 5;
+/** Nobody listens there: the entry starts without its store. */
+const STORE = '127.0.0.1:9';
+
+const settings = join(mkdtempSync(join(tmpdir(), 'masticbend-start-')), 'entry.toml');
+writeFileSync(
+  settings,
+  `instance = "start-cost"
+dataCentre = "here"
+callerAddress = "127.0.0.1:0"
+readinessAddress = "127.0.0.1:0"
+meshAddress = "127.0.0.1:0"
+metricsAddress = "127.0.0.1:0"
+storeAddress = "${STORE}"
+[bounds]
+graceS = 8
+keyFreshnessMs = 5000
+configurationMs = 2000
+leavingMs = 2000
+repeatRatio = 0.2
+repeatSlack = 58
+repeatWindowS = 10
+`,
+);
+
+function measureStart() {
+  return new Promise((resolve, reject) => {
+    const child = spawn(process.execPath, ['target/masticbend-entry.cjs', settings]);
+    child.once('error', reject);
+    child.stdout.on('data', (text) => {
+      if (!String(text).includes('process-started')) return;
+      const stat = readFileSync(`/proc/${child.pid}/stat`, 'utf8').split(') ')[1].split(' ');
+      const status = readFileSync(`/proc/${child.pid}/status`, 'utf8');
+      child.kill('SIGKILL');
+      resolve({
+        processorMs: (Number(stat[11]) + Number(stat[12])) * TICK_MS,
+        memoryMb: Math.round(Number(/VmRSS:\s+(\d+)/.exec(status)[1]) / 1_024),
+      });
+    });
+  });
+}
+
+for (let run = 0; run < RUNS; run += 1) process.stdout.write(`${JSON.stringify(await measureStart())}\n`);
