Break off at once a stream whose continuation is a failure; split the modules of the gateway

A failure answered to the continuation of a resumed stream was taken as the final answer although the caller's had begun: writing its head threw, and the caller waited until the deadline. Found while reading; the test failed before (open until the deadline) and passes now. Requests, log lines, access, timing, retry advice and the services stand in modules of their own.

--- /dev/null
+++ b/packages/gateway/src/administration.ts
@@ -0,0 +1,64 @@
+/** Readiness for the balancer, and metrics and the state dump for operators. */
+import { createServer, type Server } from 'node:http';
+import type { Kernel, Lifecycle } from '@masticbend/kernel/kernel';
+import { LogEvent } from '@masticbend/kernel/log';
+import { Metric } from '@masticbend/kernel/metrics';
+import { READINESS_PATH } from '@masticbend/platform/ingress';
+import { parseAddress } from '@masticbend/settings/address';
+import { startServer } from './ingress.js';
+import type { GatewayServices } from './services.js';
+import type { GatewaySettings } from './settings.js';
+
+/** Returns the service; `state` tells when the process stops. */
+export function createAdministration(
+  kernel: Kernel<GatewayServices>,
+  settings: GatewaySettings,
+  state: { stopping: boolean },
+): Lifecycle {
+  const log = kernel.find('log');
+  const view = kernel.find('view');
+  const metrics = kernel.find('metrics');
+  const servers: Server[] = [];
+  let wasReady = false;
+
+  function isReady(): boolean {
+    const ready =
+      !state.stopping &&
+      view.getView() !== undefined &&
+      view.isRecent() &&
+      kernel.find('board').listServers().length > 0;
+    if (ready !== wasReady) {
+      wasReady = ready;
+      log.info(LogEvent.ReadinessChanged, { ready, stopping: state.stopping });
+    }
+    return ready;
+  }
+
+  return {
+    async start() {
+      metrics.registerGauge(Metric.OpenRequests, kernel.find('requests').countOpen);
+      metrics.registerGauge(Metric.ConfigurationRevision, () =>
+        Number(view.getView()?.configuration.version ?? 0),
+      );
+      const readiness = createServer((request, response) => {
+        const status = request.url?.startsWith(READINESS_PATH) && isReady() ? 200 : 503;
+        response.writeHead(status, { 'content-length': '0' }).end();
+      });
+      const operators = createServer((request, response) => {
+        if (request.url === '/dump') response.end(JSON.stringify(kernel.dump()));
+        else response.end(metrics.render());
+      });
+      servers.push(readiness, operators);
+      const ready = parseAddress(settings.readinessAddress);
+      const operator = parseAddress(settings.metricsAddress);
+      await startServer(readiness, ready.host, ready.port);
+      await startServer(operators, operator.host, operator.port);
+    },
+    stop() {
+      for (const server of servers) {
+        server.close();
+        server.closeAllConnections();
+      }
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/request-log.ts
@@ -0,0 +1,117 @@
+/** Log lines about requests: one for each decision, with what decided it. */
+import type { Clock } from '@masticbend/kernel/clock';
+import { LogEvent, type Logger } from '@masticbend/kernel/log';
+import type { Failure } from '@masticbend/protocol/error';
+import { countHeld, type ServerEntry } from '@masticbend/scheduling/server-board';
+import type { IncomingRequest, RequestState } from './request-state.js';
+
+/** Writer of the lines. */
+export interface RequestLog {
+  /** Turned away before it was admitted. */
+  writeDenied: (incoming: IncomingRequest, failure: Failure) => void;
+  writePlaced: (state: RequestState, entry: ServerEntry, finishMs: number) => void;
+  writeAttemptFailed: (state: RequestState, entry: ServerEntry, result: string) => void;
+  writeEjected: (entry: ServerEntry, reason: string, now: number) => void;
+  writeRepeated: (state: RequestState, from: ServerEntry) => void;
+  writeRefused: (state: RequestState, failure: Failure, waiting: number) => void;
+  writeFailed: (state: RequestState, failure: Failure) => void;
+  writeFinished: (state: RequestState, status: string) => void;
+  writeAbandoned: (state: RequestState) => void;
+}
+
+/** Returns a writer on a logger. */
+export function createRequestLog(clock: Clock, log: Logger): RequestLog {
+  const getTotalMs = ({ incoming }: RequestState) => Math.round(clock.now() - incoming.arrivedAt);
+
+  return {
+    writeDenied({ host, target, facts }, failure) {
+      const request = facts.requestId;
+      log.info(LogEvent.RequestRefused, {
+        request,
+        ...describeFailure(failure),
+        host,
+        path: target,
+      });
+    },
+    writePlaced(state, entry, finishMs) {
+      const { server } = entry;
+      log.info(LogEvent.RequestPlaced, {
+        request: state.incoming.facts.requestId,
+        route: state.route.name,
+        server: server.id,
+        born: server.bornAt,
+        version: state.version,
+        held: countHeld(entry),
+        own: entry.running,
+        slots: server.slots,
+        expectedMs: Math.round(finishMs),
+        waitedMs: getTotalMs(state),
+        attempt: state.sent + 1,
+      });
+    },
+    writeAttemptFailed(state, { server }, result) {
+      log.info(LogEvent.AttemptFailed, {
+        request: state.incoming.facts.requestId,
+        server: server.id,
+        result,
+        reason: state.lastReason,
+        begun: state.delivery.hasBegun(),
+      });
+    },
+    writeEjected({ server, failuresInRow, ejectedUntil }, reason, now) {
+      log.warn(LogEvent.ServerEjected, {
+        server: server.id,
+        reason,
+        failures: failuresInRow,
+        forMs: Math.round(ejectedUntil - now),
+      });
+    },
+    writeRepeated(state, { server }) {
+      log.info(LogEvent.RequestRepeated, {
+        request: state.incoming.facts.requestId,
+        from: server.id,
+        reason: state.lastReason,
+        after: state.lastEventId,
+      });
+    },
+    writeRefused(state, failure, waiting) {
+      log.info(LogEvent.RequestRefused, {
+        request: state.incoming.facts.requestId,
+        ...describeFailure(failure),
+        route: state.route.name,
+        account: state.account?.name,
+        version: state.version,
+        waitedMs: getTotalMs(state),
+        waiting,
+        last: state.lastReason,
+      });
+    },
+    writeFailed(state, failure) {
+      log.info(LogEvent.RequestFailed, {
+        request: state.incoming.facts.requestId,
+        error: failure.kind,
+        reason: state.lastReason,
+        sent: state.sent,
+        begun: state.delivery.hasBegun(),
+        totalMs: getTotalMs(state),
+      });
+    },
+    writeFinished(state, status) {
+      const request = state.incoming.facts.requestId;
+      const { sent } = state;
+      log.info(LogEvent.RequestFinished, { request, status, sent, totalMs: getTotalMs(state) });
+    },
+    writeAbandoned(state) {
+      const request = state.incoming.facts.requestId;
+      log.info(LogEvent.RequestAbandoned, {
+        request,
+        sent: state.sent,
+        totalMs: getTotalMs(state),
+      });
+    },
+  };
+}
+
+function describeFailure({ kind, retryAfterMs }: Failure) {
+  return { error: kind, retryAfterMs: retryAfterMs && Math.round(retryAfterMs) };
+}
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -3,74 +3,43 @@
  * account has room, where the request goes or how long it waits, and what follows a failed attempt.
  */
 import type { Clock } from '@masticbend/kernel/clock';
-import { LogEvent, type LogFields, type Logger } from '@masticbend/kernel/log';
-import type { CallerFacts } from '@masticbend/platform/ingress';
+import type { Logger } from '@masticbend/kernel/log';
 import { ErrorKind, type Failure } from '@masticbend/protocol/error';
-import { chooseService } from '@masticbend/scheduling/gateway-route';
 import type { RepeatBudget } from '@masticbend/scheduling/repeat-budget';
-import {
-  countHeld,
-  type AgentLoad,
-  type Choice,
-  type PlacedWork,
-  type ServerBoard,
-  type ServerEntry,
+import { createRetryAdvice, LEAST_RETRY_MS } from '@masticbend/scheduling/retry-advice';
+import type {
+  AgentLoad,
+  Choice,
+  ServerBoard,
+  ServerEntry,
 } from '@masticbend/scheduling/server-board';
 import { countUnits, type SharedLimits } from '@masticbend/scheduling/shared-limit';
 import type { WaitingLine } from '@masticbend/scheduling/waiting-line';
-import { Repeat, type GatewayAccount, type GatewayRoute } from '@masticbend/settings/routing';
-import { startAttempt, type Attempt, type AttemptResult } from './attempt.js';
-import type { BackendClient, ExchangeRequest } from './backend-client.js';
+import { Repeat } from '@masticbend/settings/routing';
+import { checkAccess, checkAccessAgain, OUTAGE_RETRY_MS, type CheckKeys } from './access.js';
+import { startAttempt, type AttemptResult } from './attempt.js';
+import type { BackendClient } from './backend-client.js';
 import type { ConfigurationView } from './configuration-view.js';
 import type { Delivery } from './delivery.js';
 import type { PermitClient } from './permit-client.js';
+import { createRequestLog } from './request-log.js';
+import {
+  createRequestState,
+  type IncomingRequest,
+  type RequestOutcome,
+  type RequestState,
+} from './request-state.js';
+import { chooseSilence, describeWaiting } from './request-timing.js';
 
-/** Part of the objective in which a request must be sent, less the time to its first byte. */
-const WAIT_PART = 0.85;
-/** Least wait that a request is allowed, as a part of its objective. */
-const LEAST_WAIT_PART = 0.25;
-/** Wait of a request whose first byte will be late in any case, likewise. */
-const LATE_WAIT_PART = 2;
 /** Time left to a backend server's own answer at the deadline, in milliseconds. */
 const DEADLINE_MARGIN_MS = 40;
 /** Interval of the check for requests that waited too long, in milliseconds. */
 const EXPIRY_CHECK_MS = 10;
-/** Silence after which a repeatable request goes elsewhere: parts of objective and pause. */
-const SILENT_OBJECTIVES = 2.5;
-const SILENT_PAUSES = 4;
-const LEAST_SILENCE_MS = 600;
 /** Time a server that had no room is passed over, in milliseconds. */
 const FULL_PAUSE_MS = 30;
-/** Least advice when to come back, in milliseconds, and the part of it that is drawn. */
-const LEAST_RETRY_MS = 300;
-const RETRY_SPREAD = 0.5;
-/** Part of a caller's time left that it waits at most before it comes back. */
-const RETRY_TIME_PART = 1 / 3;
-/** How far the share of refused requests follows the last one, and what share is an overload. */
-const REFUSED_STEP = 0.02;
-const OVERLOAD_SHARE = 0.3;
 /** Agents asked for one request at a time, and in all. */
 const PARALLEL_ASKS = 2;
 const MOST_ASKS = 4;
-/** Longest wait of a repeat for a permit, as a part of the objective. */
-const REPEAT_WAIT_PART = 2;
-/** Advice while the store or the servers are away, in milliseconds. */
-const OUTAGE_RETRY_MS = 1_000;
-/** Output tokens expected of a request that gives no estimate, as a part of its most. */
-const EXPECTED_OUTPUT_PART = 0.3;
-
-/** A request as it came in. */
-export interface IncomingRequest {
-  method: ExchangeRequest['method'];
-  /** Path with query, as sent. */
-  target: string;
-  host: string;
-  rawHeaders: readonly string[];
-  facts: CallerFacts;
-  body: Buffer;
-  arrivedAt: number;
-}
-
 /** What the requests need from the rest of the entry. */
 export interface RequestsOptions {
   clock: Clock;
@@ -83,22 +52,12 @@
   repeats: RepeatBudget;
   permits: Pick<PermitClient, 'findLoad' | 'ask' | 'release' | 'addRunning'>;
   getView: () => ConfigurationView | undefined;
-  /** Tells whether the keys in force are known recently enough to admit by them. */
-  areKeysFresh: () => boolean;
+  areKeysFresh: CheckKeys;
   /** Instances that share the limits. */
   countInstances: () => number;
   recordOutcome: (outcome: RequestOutcome) => void;
 }
 
-/** One answered request, for metrics. */
-export interface RequestOutcome {
-  route: string;
-  tier: number;
-  account: string;
-  outcome: string;
-  totalMs: number;
-}
-
 /** Requests of one entry. */
 export interface Requests {
   /** Takes a request; `connect` wraps its response and reports when the caller leaves. */
@@ -114,61 +73,29 @@
   stop: () => void;
 }
 
-interface RequestState {
-  id: string;
-  incoming: IncomingRequest;
-  delivery: Delivery;
-  route: GatewayRoute;
-  service: string;
-  account?: GatewayAccount;
-  tier: number;
-  version: number;
-  work: PlacedWork;
-  units: number;
-  deadlineAt: number;
-  tried: Set<string>;
-  /** Servers whose agents were asked and have not answered. */
-  asked: Set<string>;
-  /** Agents asked so far, and the least wait that one of them expected. */
-  asks: number;
-  refusedWaitMs: number | undefined;
-  /** Servers that it was sent to. */
-  sent: number;
-  /** Attempts that may have run. */
-  mayHaveRun: number;
-  lastEventId?: string;
-  attempt?: Attempt;
-  /** Frees the place that the attempt holds. */
-  release: () => void;
-  /** A backend server's failure, delivered when no repeat does better. */
-  fallback?: Extract<AttemptResult, { kind: 'answer' }>;
-  lastReason: string;
-  stopDeadline: () => void;
-}
-
 /** Returns an entry's requests. */
 export function createRequests(options: RequestsOptions): Requests {
-  const { clock, log, drawRandom, client, board, line, limits, repeats, permits } = options;
+  const { clock, drawRandom, client, board, line, limits, repeats, permits } = options;
   const open = new Map<string, RequestState>();
   let next = 1;
-  /** Share of the latest requests that were refused for want of places. */
-  let refusedShare = 0;
+  const advice = createRetryAdvice(drawRandom);
+  const lines = createRequestLog(clock, options.log);
   let stopExpiry: (() => void) | undefined;
 
   function accept(incoming: IncomingRequest, connect: (onAbandoned: () => void) => Delivery): void {
     const view = options.getView();
     let state: RequestState | undefined;
     const delivery = connect(() => state && abortRequest(state));
-    const refusal = checkAccess(view, incoming);
-    if ('kind' in refusal) {
-      recordRefusal(incoming.facts.requestId, refusal, {
-        host: incoming.host,
-        path: incoming.target,
-      });
-      delivery.fail(refusal);
+    const access = checkAccess(view, incoming, options.areKeysFresh);
+    if ('kind' in access) {
+      lines.writeDenied(incoming, access);
+      delivery.fail(access);
       return;
     }
-    state = createState(incoming, delivery, refusal.route, refusal.account, view!);
+    const id = `${incoming.facts.requestId || 'none'}.${next}`;
+    next += 1;
+    state = createRequestState(id, incoming, delivery, access, view!, drawRandom);
+    startDeadline(state);
     open.set(state.id, state);
     const limited = checkLimit(state);
     if (limited) {
@@ -179,58 +106,9 @@
     place(state);
   }
 
-  function checkAccess(
-    view: ConfigurationView | undefined,
-    { host, target, facts }: IncomingRequest,
-  ): Failure | { route: GatewayRoute; account?: GatewayAccount } {
-    const retryAfterMs = OUTAGE_RETRY_MS;
-    if (!view) return { kind: ErrorKind.ConfigurationUnavailable, retryAfterMs };
-    const route = view.routes.find(host, target);
-    if (!route) return { kind: ErrorKind.NotFound };
-    if (route.anonymous || view.configuration.accounts.length === 0) return { route };
-    if (!options.areKeysFresh()) return { kind: ErrorKind.PlatformUnavailable, retryAfterMs };
-    const account = view.accounts.get(facts.apiKey ?? '');
-    return account ? { route, account } : { kind: ErrorKind.Unauthenticated };
-  }
-
-  function createState(
-    incoming: IncomingRequest,
-    delivery: Delivery,
-    route: GatewayRoute,
-    account: GatewayAccount | undefined,
-    { configuration }: ConfigurationView,
-  ): RequestState {
-    const { facts, arrivedAt } = incoming;
-    const service = chooseService(route, drawRandom);
-    const engine = configuration.services.get(service)?.engine;
-    const limitMs = Math.min(facts.deadlineMs ?? route.timeoutMs, route.timeoutMs);
-    const id = `${facts.requestId || 'none'}.${next}`;
-    next += 1;
-    const state: RequestState = {
-      id,
-      incoming,
-      delivery,
-      route,
-      service,
-      account,
-      tier: account?.tier ?? route.tier,
-      version: configuration.version,
-      work: describeWork(route, facts, engine?.tokensPerEvent ?? 1),
-      units: 0,
-      deadlineAt: arrivedAt + limitMs,
-      tried: new Set(),
-      asked: new Set(),
-      asks: 0,
-      refusedWaitMs: undefined,
-      sent: 0,
-      mayHaveRun: 0,
-      lastReason: '',
-      release: () => {},
-      stopDeadline: () => {},
-    };
+  function startDeadline(state: RequestState): void {
     const leftMs = state.deadlineAt - clock.now() + DEADLINE_MARGIN_MS;
     state.stopDeadline = clock.startTimer(leftMs, () => handleDeadline(state));
-    return state;
   }
 
   function checkLimit(state: RequestState): Failure | undefined {
@@ -274,7 +152,7 @@
       work,
       tier,
       excluded: new Set([...tried, ...asked]),
-      waitMs: describeWaiting(state).startBy - now,
+      waitMs: describeWaiting(clock.now(), board, state).startBy - now,
       leftMs: deadlineAt - now,
       findLoad: permits.findLoad,
     });
@@ -289,7 +167,11 @@
 
   function waitInLine(state: RequestState, now: number): void {
     const { places } = board.countPlaces(now, state.service);
-    const waitMs = line.add(now, describeWaiting(state), places / options.countInstances());
+    const waitMs = line.add(
+      now,
+      describeWaiting(clock.now(), board, state),
+      places / options.countInstances(),
+    );
     if (waitMs === undefined) {
       scheduleExpiry();
       return;
@@ -307,7 +189,11 @@
   }
 
   function reserveAt(state: RequestState, { server }: ServerEntry): void {
-    const { id, account, tier, tokens, costMs, startBy } = describeWaiting(state);
+    const { id, account, tier, tokens, costMs, startBy } = describeWaiting(
+      clock.now(),
+      board,
+      state,
+    );
     const now = clock.now();
     state.asked.add(server.id);
     state.asks += 1;
@@ -335,7 +221,7 @@
     state.refusedWaitMs = Math.min(waitMs, state.refusedWaitMs ?? Infinity);
     if (state.attempt || state.asked.size > 0) return;
     state.tried.add(serverId);
-    const isLate = clock.now() >= describeWaiting(state).startBy;
+    const isLate = clock.now() >= describeWaiting(clock.now(), board, state).startBy;
     if (isLate || state.asks >= MOST_ASKS) finishUnserved(state, createPlaceFailure(state));
     else place(state);
   }
@@ -352,36 +238,11 @@
     state.asked.clear();
   }
 
-  function describeWaiting(state: RequestState) {
-    const { id, service, account, tier, route, work, incoming } = state;
-    const firstMs = board.estimateFirstMs(service, work);
-    const spareMs = route.objectiveMs * WAIT_PART - firstMs;
-    const waitMs = chooseWait(route, spareMs);
-    const isRepeat = state.mayHaveRun > 0;
-    const repeatBy = clock.now() + route.objectiveMs * REPEAT_WAIT_PART;
-    return {
-      id,
-      service,
-      account: account?.name ?? '',
-      tier,
-      arrivedAt: incoming.arrivedAt,
-      startBy: isRepeat ? Math.min(state.deadlineAt, repeatBy) : incoming.arrivedAt + waitMs,
-      costMs: board.estimateHoldMs(service, work),
-      tokens: (incoming.facts.promptTokens ?? 0) + (incoming.facts.outputTokens ?? 0),
-    };
-  }
-
-  /** What cannot meet its objective loses nothing more by waiting for a place. */
-  function chooseWait({ objectiveMs }: GatewayRoute, spareMs: number): number {
-    if (spareMs <= 0) return objectiveMs * LATE_WAIT_PART;
-    return Math.max(objectiveMs * LEAST_WAIT_PART, spareMs);
-  }
-
   function sendToServer(state: RequestState, entry: ServerEntry, finishMs: number): void {
     const { incoming, delivery, route, account, work } = state;
     const now = clock.now();
-    refusedShare -= refusedShare * REFUSED_STEP;
-    const refusal = checkAccessAgain(state);
+    advice.recordSent();
+    const refusal = checkAccessAgain(options.getView(), state, options.areKeysFresh);
     if (refusal) {
       permits.release(entry.server.id, state.id);
       finishUnserved(state, refusal);
@@ -389,19 +250,7 @@
     }
     const { server } = entry;
     state.tried.add(server.id);
-    log.info(LogEvent.RequestPlaced, {
-      request: incoming.facts.requestId,
-      route: route.name,
-      server: server.id,
-      born: server.bornAt,
-      version: state.version,
-      held: countHeld(entry),
-      own: entry.running,
-      slots: server.slots,
-      expectedMs: Math.round(finishMs),
-      waitedMs: Math.round(now - incoming.arrivedAt),
-      attempt: state.sent + 1,
-    });
+    lines.writePlaced(state, entry, finishMs);
     board.addRun(entry, work);
     permits.addRunning(server.id, state.id);
     let reading = true;
@@ -454,26 +303,6 @@
     );
   }
 
-  /** A key or a route may have been taken away while the request waited. */
-  function checkAccessAgain(state: RequestState): Failure | undefined {
-    const { account, incoming, version } = state;
-    if (!account) return undefined;
-    if (!options.areKeysFresh()) {
-      return { kind: ErrorKind.PlatformUnavailable, retryAfterMs: OUTAGE_RETRY_MS };
-    }
-    const view = options.getView()!;
-    if (view.configuration.version === version) return undefined;
-    const isKept = view.accounts.get(incoming.facts.apiKey ?? '')?.name === account.name;
-    return isKept ? undefined : { kind: ErrorKind.Unauthenticated };
-  }
-
-  function chooseSilence({ route, sent }: RequestState): number {
-    if (route.repeat === Repeat.Never || sent + 1 >= route.attempts) return 0;
-    const first = route.objectiveMs * SILENT_OBJECTIVES;
-    const between = route.streamed ? route.pauseMs * SILENT_PAUSES : 0;
-    return Math.max(LEAST_SILENCE_MS, first, between);
-  }
-
   function handleResult(state: RequestState, entry: ServerEntry, result: AttemptResult): void {
     const now = clock.now();
     if (result.kind === 'delivered') {
@@ -481,7 +310,7 @@
       finish(state, String(result.status));
       return;
     }
-    if (result.kind === 'answer' && !isRepeatableAnswer(state, result.status)) {
+    if (result.kind === 'answer' && isFinalAnswer(state, result.status)) {
       if (result.status >= 500) board.recordFailure(entry);
       else board.recordSuccess(entry);
       state.delivery.answer(result.status, result.headers, result.body);
@@ -492,12 +321,7 @@
     if (result.kind === 'unsent') {
       place(state);
     } else if (takeRepeat(state)) {
-      log.info(LogEvent.RequestRepeated, {
-        request: state.incoming.facts.requestId,
-        from: entry.server.id,
-        reason: state.lastReason,
-        after: state.lastEventId,
-      });
+      lines.writeRepeated(state, entry);
       place(state);
     } else {
       finishUnserved(state, { kind: ErrorKind.Overloaded, retryAfterMs: drawRetryMs(state, 0) });
@@ -525,26 +349,19 @@
         state.lastEventId = result.lastEventId;
       }
       if (board.recordSilence(now, entry)) {
-        log.warn(LogEvent.ServerEjected, {
-          server: entry.server.id,
-          reason: result.reason,
-          failures: entry.failuresInRow,
-          forMs: Math.round(entry.ejectedUntil - now),
-        });
+        lines.writeEjected(entry, result.reason, now);
       }
     }
-    log.info(LogEvent.AttemptFailed, {
-      request: state.incoming.facts.requestId,
-      server: entry.server.id,
-      result: result.kind,
-      reason: state.lastReason,
-      begun: state.delivery.hasBegun(),
-    });
+    lines.writeAttemptFailed(state, entry, result.kind);
   }
 
-  /** A failure of the backend server is worth a repeat only where one is allowed. */
-  function isRepeatableAnswer({ route, sent }: RequestState, status: number): boolean {
-    return status >= 500 && route.repeat !== Repeat.Never && sent < route.attempts;
+  /**
+   * A failure of the backend server is worth a repeat where one is allowed, and cannot be shown
+   * to a caller whose answer has begun.
+   */
+  function isFinalAnswer({ route, sent, delivery }: RequestState, status: number): boolean {
+    if (delivery.hasBegun()) return false;
+    return status < 500 || route.repeat === Repeat.Never || sent >= route.attempts;
   }
 
   function takeRepeat(state: RequestState): boolean {
@@ -559,7 +376,7 @@
   function finishUnserved(state: RequestState, refusal: Failure): void {
     const { fallback, delivery } = state;
     if (state.mayHaveRun === 0) {
-      refusedShare += (1 - refusedShare) * REFUSED_STEP;
+      advice.recordRefused();
       refuse(state, refusal);
     } else if (fallback && !delivery.hasBegun()) {
       delivery.answer(fallback.status, fallback.headers, fallback.body);
@@ -570,14 +387,7 @@
   }
 
   function refuse(state: RequestState, failure: Failure): void {
-    recordRefusal(state.incoming.facts.requestId, failure, {
-      route: state.route.name,
-      account: state.account?.name,
-      version: state.version,
-      waitedMs: Math.round(clock.now() - state.incoming.arrivedAt),
-      waiting: line.count(state.service),
-      last: state.lastReason,
-    });
+    lines.writeRefused(state, failure, line.count(state.service));
     if (state.account && state.units > 0) {
       limits.refund(clock.now(), state.account.name, state.units);
     }
@@ -586,40 +396,17 @@
   }
 
   function fail(state: RequestState, failure: Failure): void {
-    log.info(LogEvent.RequestFailed, {
-      request: state.incoming.facts.requestId,
-      error: failure.kind,
-      reason: state.lastReason,
-      sent: state.sent,
-      begun: state.delivery.hasBegun(),
-      totalMs: Math.round(clock.now() - state.incoming.arrivedAt),
-    });
+    lines.writeFailed(state, failure);
     state.delivery.fail(failure);
     finish(state, failure.kind, false);
   }
 
-  function recordRefusal(request: string, failure: Failure, fields: LogFields): void {
-    log.info(LogEvent.RequestRefused, {
-      request,
-      error: failure.kind,
-      retryAfterMs: failure.retryAfterMs && Math.round(failure.retryAfterMs),
-      ...fields,
-    });
-  }
-
   function finish(state: RequestState, outcome: string, logged = true): void {
     state.stopDeadline();
     releaseAsks(state);
     open.delete(state.id);
     const totalMs = clock.now() - state.incoming.arrivedAt;
-    if (logged) {
-      log.info(LogEvent.RequestFinished, {
-        request: state.incoming.facts.requestId,
-        status: outcome,
-        sent: state.sent,
-        totalMs: Math.round(totalMs),
-      });
-    }
+    if (logged) lines.writeFinished(state, outcome);
     options.recordOutcome({
       route: state.route.name,
       tier: state.tier,
@@ -652,11 +439,7 @@
     if (!wasSent && state.account && state.units > 0) {
       limits.refund(clock.now(), state.account.name, state.units);
     }
-    log.info(LogEvent.RequestAbandoned, {
-      request: state.incoming.facts.requestId,
-      sent: state.sent,
-      totalMs: Math.round(clock.now() - state.incoming.arrivedAt),
-    });
+    lines.writeAbandoned(state);
     finish(state, 'abandoned', false);
     sendWaiting(state.service);
   }
@@ -710,16 +493,9 @@
     stopExpiry = clock.startTimer(EXPIRY_CHECK_MS, checkExpiry);
   }
 
-  /**
-   * Returns when a refused caller should come back. While much is refused, an early return would
-   * only be refused again: callers come back as late as they can wait, spread over time.
-   */
-  function drawRetryMs(state: RequestState, waitMs: number): number {
-    const leftMs = state.incoming.arrivedAt + (state.incoming.facts.deadlineMs ?? 0) - clock.now();
-    const overload = Math.min(1, refusedShare / OVERLOAD_SHARE);
-    const latestMs = Math.max(0, leftMs) * RETRY_TIME_PART;
-    const baseMs = Math.max(LEAST_RETRY_MS, waitMs, latestMs * overload);
-    return Math.min(baseMs, Math.max(LEAST_RETRY_MS, latestMs)) * (1 - drawRandom() * RETRY_SPREAD);
+  function drawRetryMs({ incoming }: RequestState, waitMs: number): number {
+    const leftMs = incoming.arrivedAt + (incoming.facts.deadlineMs ?? 0) - clock.now();
+    return advice.drawMs(waitMs, leftMs);
   }
 
   return {
@@ -736,13 +512,3 @@
     stop: () => stopExpiry?.(),
   };
 }
-
-function describeWork(route: GatewayRoute, facts: CallerFacts, tokensPerEvent: number): PlacedWork {
-  if (!route.streamed) return { promptTokens: 0, events: 0 };
-  const most = facts.outputTokens ?? 0;
-  const tokens = facts.expectedTokens ?? most * EXPECTED_OUTPUT_PART;
-  return {
-    promptTokens: facts.promptTokens ?? 0,
-    events: Math.max(1, Math.min(tokens, most || tokens) / tokensPerEvent),
-  };
-}
--- /dev/null
+++ b/packages/gateway/src/services.ts
@@ -0,0 +1,42 @@
+/** The services of an entry, by the names under which they find each other. */
+import type { Clock } from '@masticbend/kernel/clock';
+import type { Lifecycle } from '@masticbend/kernel/kernel';
+import type { Logger } from '@masticbend/kernel/log';
+import type { Metrics } from '@masticbend/kernel/metrics';
+import type { Store } from '@masticbend/platform/store';
+import type { ServerBoard } from '@masticbend/scheduling/server-board';
+import type { SharedLimits } from '@masticbend/scheduling/shared-limit';
+import type { BackendClient } from './backend-client.js';
+import type { ConfigurationView } from './configuration-view.js';
+import type { Ingress } from './ingress.js';
+import type { Members } from './members.js';
+import type { PeerMesh } from './peer-mesh.js';
+import type { PermitClient } from './permit-client.js';
+import type { Requests } from './requests.js';
+import type { TableFeed } from './table-feed.js';
+
+export interface GatewayServices {
+  clock: Clock;
+  log: Logger;
+  metrics: Metrics;
+  store: Store & Lifecycle;
+  client: BackendClient & Lifecycle;
+  board: ServerBoard & Lifecycle;
+  limits: SharedLimits & Lifecycle;
+  view: ViewService & Lifecycle;
+  servers: TableFeed & Lifecycle;
+  requests: Requests & Lifecycle;
+  ingress: Ingress & Lifecycle;
+  members: Members & Lifecycle;
+  permits: PermitClient & Lifecycle;
+  mesh: PeerMesh & Lifecycle;
+  administration: Lifecycle;
+}
+
+/** The configuration in force and how fresh it is. */
+export interface ViewService {
+  getView: () => ConfigurationView | undefined;
+  areKeysFresh: () => boolean;
+  isRecent: () => boolean;
+  getAgeMs: () => number;
+}
--- a/packages/gateway/src/table-feed.ts
+++ b/packages/gateway/src/table-feed.ts
@@ -7,6 +7,8 @@
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import type { ReadResult, Store, StoreRow, StoreRows } from '@masticbend/platform/store';
 
+/** Part of the time allowed for a change after which the store is read again at the latest. */
+export const READ_INTERVAL_PART = 0.55;
 /** Longest wait of the store for a change, in milliseconds. */
 const CHANGE_WAIT_MS = 1_000;
 /** Bounds of the pause after a failed read, in milliseconds. */
--- /dev/null
+++ b/packages/gateway/src/view-service.ts
@@ -0,0 +1,97 @@
+/** Follows the configuration in the store and tells how recently it was confirmed. */
+import type { Kernel, Lifecycle } from '@masticbend/kernel/kernel';
+import { LogEvent } from '@masticbend/kernel/log';
+import {
+  CONFIGURATION_KEY,
+  CONFIGURATION_TABLE,
+  decodeConfiguration,
+} from '@masticbend/platform/configuration';
+import type { StoreRow } from '@masticbend/platform/store';
+import type { AccountLimit, RoutingConfiguration } from '@masticbend/settings/routing';
+import { createConfigurationView, type ConfigurationView } from './configuration-view.js';
+import { updateAgents } from './servers-service.js';
+import type { GatewayServices, ViewService } from './services.js';
+import type { GatewaySettings } from './settings.js';
+import { createTableFeed, READ_INTERVAL_PART } from './table-feed.js';
+
+/** Part of the allowed age of keys that is used; the rest covers the way of a request. */
+const FRESHNESS_PART = 0.97;
+/** Age of the last read from which an entry asks for no new callers, as a part of the same. */
+const READINESS_PART = 0.6;
+
+/** Returns the service; it begins to read when started. */
+export function createViewService(
+  kernel: Kernel<GatewayServices>,
+  settings: GatewaySettings,
+  getElapsed: () => number,
+): ViewService & Lifecycle {
+  const log = kernel.find('log');
+  const { keyFreshnessMs, configurationMs } = settings.bounds;
+  let view: ConfigurationView | undefined;
+  let wereFresh = false;
+
+  function applyRows(rows: readonly StoreRow[]): void {
+    const row = rows.filter(({ key, deleted }) => key === CONFIGURATION_KEY && !deleted).at(-1);
+    if (!row) return;
+    const configuration = decodeConfiguration(row.value);
+    if (!configuration) {
+      log.error(LogEvent.ConfigurationRejected, {
+        revision: row.revision,
+        bytes: row.value.length,
+      });
+      return;
+    }
+    if (view && configuration.version <= view.configuration.version) return;
+    view = createConfigurationView(configuration);
+    log.info(LogEvent.ConfigurationApplied, {
+      version: configuration.version,
+      revision: row.revision,
+      routes: configuration.routes.length,
+      accounts: configuration.accounts.length,
+      keys: view.accounts.size,
+    });
+    kernel.find('limits').setLimits(kernel.find('clock').now(), listLimits(configuration));
+    updateAgents(kernel);
+    kernel.find('ingress').applyLimits();
+  }
+
+  const feed = createTableFeed({
+    intervalMs: configurationMs * READ_INTERVAL_PART,
+    store: kernel.find('store'),
+    table: CONFIGURATION_TABLE,
+    clock: kernel.find('clock'),
+    getElapsed,
+    log,
+    events: { onTable: applyRows, onChanges: applyRows },
+  });
+
+  function getAgeMs(): number {
+    const confirmedAt = feed.getConfirmedAt();
+    return confirmedAt === undefined ? Infinity : getElapsed() - confirmedAt;
+  }
+
+  function checkKeys(): boolean {
+    const isFresh =
+      getAgeMs() < keyFreshnessMs * FRESHNESS_PART && kernel.find('members').isLeaseHeld();
+    if (isFresh !== wereFresh) {
+      wereFresh = isFresh;
+      const ageMs = Math.round(Math.min(getAgeMs(), Number.MAX_SAFE_INTEGER));
+      log.info(isFresh ? LogEvent.KeysFresh : LogEvent.KeysStale, { ageMs });
+    }
+    return isFresh;
+  }
+
+  return {
+    start: feed.start,
+    stop: feed.stop,
+    getView: () => view,
+    areKeysFresh: checkKeys,
+    isRecent: () => getAgeMs() < keyFreshnessMs * READINESS_PART,
+    getAgeMs,
+    dump: () => ({ version: view?.configuration.version, revision: feed.getRevision() }),
+  };
+}
+
+function listLimits({ accounts }: RoutingConfiguration): Map<string, AccountLimit> {
+  return new Map(accounts.flatMap(({ name, limit }) => (limit ? [[name, limit] as const] : [])));
+}
--- a/packages/gateway/test/answers.test.ts
+++ b/packages/gateway/test/answers.test.ts
@@ -20,6 +20,8 @@
   type Reply,
 } from './harness.js';
 
+/** Time within which a request that is given up is answered, in milliseconds. */
+const AT_ONCE_MS = 500;
 /** Time within which work must end after its caller left, in milliseconds. */
 const LEAVE_LIMIT_MS = 500;
 
@@ -226,6 +228,25 @@
     expect(reply).to.include({ status: 200, body: formatEvents(1, 4) });
   });
 
+  it('break off a stream whose continuation fails elsewhere, and serve on', async () => {
+    const script: Script = (arrival) => {
+      if (arrival.headers['last-event-id'] !== undefined) {
+        arrival.socket.write(formatAnswer(500, 'failed'));
+        return;
+      }
+      arrival.socket.write(formatStreamHead());
+      writeEvents(arrival, 1, 2);
+      setTimeout(() => arrival.socket.destroy(), 30);
+    };
+    await start(script, script);
+    const startedAt = performance.now();
+    const reply = await deployment.call('/resume/a');
+    expect(reply).to.include({ status: 200, body: formatEvents(1, 2), broken: true });
+    expect(performance.now() - startedAt).to.be.below(AT_ONCE_MS);
+    for (const backend of deployment.backends) backend.script = answerWell;
+    expect((await deployment.call('/once/a')).status).to.equal(200);
+  });
+
   it('end the work of a caller that left', async () => {
     await start((arrival) => {
       arrival.socket.write(formatStreamHead());
--- a/packages/scheduling/src/permit-queue.ts
+++ b/packages/scheduling/src/permit-queue.ts
@@ -3,6 +3,7 @@
  * is on its way when a place comes free. Requests of all entries wait in one order: strict tiers,
  * fair shares between accounts inside a tier. A state machine without clocks or sockets.
  */
+import type { PermitRequestMessage } from '@masticbend/protocol/message';
 import { createQueue } from './queue.js';
 import type { QueuedWork } from './queued-work.js';
 import type { AgentLoad } from './server-board.js';
@@ -14,16 +15,7 @@
 const HOLD_STEP = 0.1;
 
 /** An entry's wish to send a request. */
-export interface PermitWish {
-  request: string;
-  account: string;
-  tier: number;
-  tokens: number;
-  /** Time it will hold its permit, in milliseconds. */
-  holdMs: number;
-  /** Longest useful wait, in milliseconds. */
-  waitMs: number;
-}
+export type PermitWish = Omit<PermitRequestMessage, 'kind'>;
 
 /** A permit or a refusal to be sent to its owner. */
 export interface PermitAnswer {
--- a/scripts/start-cost.mjs
+++ b/scripts/start-cost.mjs
@@ -49,4 +49,5 @@
   });
 }
 
-for (let run = 0; run < RUNS; run += 1) process.stdout.write(`${JSON.stringify(await measureStart())}\n`);
+for (let run = 0; run < RUNS; run += 1)
+  process.stdout.write(`${JSON.stringify(await measureStart())}\n`);
