Take no address that cannot be dialled

A registration with a port above 65535 would have thrown in the dialling of its agent and ended the entry.

--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -7,6 +7,7 @@
 import type { Logger } from '@masticbend/kernel/log';
 import { LogEvent } from '@masticbend/kernel/log';
 import type { Store } from '@masticbend/platform/store';
+import { isAddress } from '@masticbend/settings/address';
 
 /** Table of the entries; the key is the instance name. */
 const MEMBERS_TABLE = 'entries';
@@ -140,7 +141,7 @@
 function readAddress(value: Buffer): string | undefined {
   try {
     const { address } = JSON.parse(value.toString()) as { address?: unknown };
-    return typeof address === 'string' ? address : undefined;
+    return typeof address === 'string' && isAddress(address) ? address : undefined;
   } catch {
     return undefined;
   }
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -1,5 +1,6 @@
 /** Settings of one gateway process: its addresses, its data centre, the store and the bounds. */
 import { readFileSync } from 'node:fs';
+import { isAddress } from '@masticbend/settings/address';
 import { parse, TomlError } from 'smol-toml';
 
 /** Bounds that operators promise their users. */
@@ -47,14 +48,13 @@
 
 type Check = (value: unknown) => string | undefined;
 
-const ADDRESS = /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/;
 const LOG_LEVELS = ['debug', 'info', 'warn', 'error'];
 const DEFAULT_LOG_LEVEL = 'info';
 
 const checkText: Check = (value) =>
   typeof value === 'string' && value !== '' ? undefined : 'expected a text';
 const checkAddress: Check = (value) =>
-  typeof value === 'string' && ADDRESS.test(value) ? undefined : 'expected "IP:port"';
+  typeof value === 'string' && isAddress(value) ? undefined : 'expected "IP:port"';
 const checkAmount: Check = (value) =>
   typeof value === 'number' && value >= 0 ? undefined : 'expected a number from 0 up';
 const checkLevel: Check = (value) =>
--- a/scripts/start-cost.mjs
+++ b/scripts/start-cost.mjs
@@ -16,10 +16,10 @@
   settings,
   `instance = "start-cost"
 dataCentre = "here"
-callerAddress = "127.0.0.1:0"
-readinessAddress = "127.0.0.1:0"
-meshAddress = "127.0.0.1:0"
-metricsAddress = "127.0.0.1:0"
+callerAddress = "127.0.0.1:18321"
+readinessAddress = "127.0.0.1:18322"
+meshAddress = "127.0.0.1:18323"
+metricsAddress = "127.0.0.1:18324"
 storeAddress = "${STORE}"
 [bounds]
 graceS = 8
