Add a fault soak of the bundled programs with seeded faults from outside them

Processes are killed, stopped, frozen and restarted, relays before the store and the engines delay, silence, cut, refuse and reset, the store refuses, is silent, loses answers and history, engines turn grey, a key is taken away, a server leaves. Checked from callers and backend servers: at most once, refusals as not run, whole answers and streams, keys, leaving servers, recovery.

--- /dev/null
+++ b/packages/bench/src/soak/engine.ts
@@ -0,0 +1,125 @@
+/**
+ * Backend server of the soak: answers by the id of each request, so that every answer can be
+ * checked, and notes every run.
+ */
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import {
+  EXPECTED_SERVER,
+  LAST_EVENT,
+  NOT_RUN,
+  REQUEST_ID,
+  SIGNATURE,
+} from '@masticbend/platform/ingress';
+
+/** Events of a stream and the time between them, in milliseconds. */
+const EVENTS = 8;
+const EVENT_INTERVAL_MS = 40;
+/** Time of a call that is no stream, in milliseconds. */
+const CALL_MS = 30;
+
+/** A run of a request. */
+export interface Run {
+  request: string;
+  server: string;
+  startedAt: number;
+  /** Event after which the run went on; 0 for a run from the start. */
+  after: number;
+}
+
+/** A running backend server. */
+export interface SoakEngine {
+  id: string;
+  address: string;
+  runs: Run[];
+  /** Cuts every connection in the middle of its answer. */
+  crash: () => void;
+  /** Parts of the requests that it refuses as not run, or fails. */
+  faults: { refused: number; failed: number };
+  close: () => void;
+}
+
+/** Body of a call's whole answer. */
+export function formatBody(request: string): string {
+  return `answer to ${request}`;
+}
+
+/** Whole stream of a request after an event. */
+export function formatEvents(request: string, after = 0): string {
+  const ids = Array.from({ length: EVENTS - after }, (_, index) => after + index + 1);
+  return ids.map((id) => formatEvent(request, id)).join('');
+}
+
+/** Starts a backend server on a host of loopback. */
+export async function startEngine(
+  id: string,
+  host: string,
+  draw: () => number,
+): Promise<SoakEngine> {
+  const runs: Run[] = [];
+  const sockets = new Set<Socket>();
+  const faults = { refused: 0, failed: 0 };
+
+  function answer(request: IncomingMessage, response: ServerResponse): void {
+    const name = String(request.headers[REQUEST_ID]);
+    response.setHeader(REQUEST_ID, name);
+    if (request.headers[EXPECTED_SERVER] !== id) {
+      response.writeHead(421).end();
+      return;
+    }
+    if (draw() < faults.refused) {
+      response.writeHead(503, { [NOT_RUN]: '1' }).end();
+      return;
+    }
+    const after = Number(request.headers[LAST_EVENT] ?? 0);
+    runs.push({ request: name, server: id, startedAt: performance.now(), after });
+    response.setHeader(SIGNATURE, `stamp-${id}`);
+    if (draw() < faults.failed) response.writeHead(500).end('failed');
+    else if (request.url!.includes('stream')) sendEvents(response, name, after);
+    else setTimeout(() => response.end(formatBody(name)), CALL_MS);
+  }
+
+  const server = createServer((request, response) => {
+    request.resume();
+    request.on('end', () => answer(request, response));
+  });
+  server.on('connection', (socket) => {
+    sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.on('close', () => sockets.delete(socket));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, host, resolve);
+  });
+  return {
+    id,
+    address: `${host}:${(server.address() as AddressInfo).port}`,
+    runs,
+    faults,
+    crash() {
+      for (const socket of sockets) socket.resetAndDestroy();
+    },
+    close() {
+      server.closeAllConnections();
+      server.close();
+    },
+  };
+}
+
+function formatEvent(request: string, id: number): string {
+  return `id: ${id}\ndata: ${request} ${id}\n\n`;
+}
+
+function sendEvents(response: ServerResponse, request: string, after: number): void {
+  response.writeHead(200, { 'content-type': 'text/event-stream' });
+  let next = after + 1;
+  const timer = setInterval(() => {
+    if (next <= EVENTS) response.write(formatEvent(request, next));
+    else {
+      clearInterval(timer);
+      response.end();
+    }
+    next += 1;
+  }, EVENT_INTERVAL_MS);
+  response.on('close', () => clearInterval(timer));
+}
--- /dev/null
+++ b/packages/bench/src/soak/world.ts
@@ -0,0 +1,206 @@
+/**
+ * The processes of a soak: entries and agents from the bundles, each entry with a relay before its
+ * store and each engine behind a relay of its own. Ends only what it started.
+ */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { mkdirSync, mkdtempSync, openSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { startStoreStandIn, type StoreStandIn } from '@masticbend/platform/store-standin';
+import { startEngine, type SoakEngine } from './engine.js';
+import { startRelay, type Relay } from './relay.js';
+
+/** Ports of the processes, the same on each loopback address. */
+const PORTS = { caller: 18_501, readiness: 18_502, mesh: 18_503, metrics: 18_504 };
+/** Time after which an ended process is started again, in milliseconds. */
+const RESTART_MS = 300;
+/** Time between registrations of the backend servers, in milliseconds. */
+const REGISTRATION_MS = 400;
+export const SLOTS = 6;
+
+/** Bounds that the soak holds the system to. */
+export const BOUNDS = {
+  graceS: 4,
+  keyFreshnessMs: 2_500,
+  configurationMs: 1_500,
+  leavingMs: 1_500,
+};
+
+/** A process under test. */
+export interface SoakProcess {
+  name: string;
+  child: ChildProcess;
+  /** Time of the last unplanned fault on it. */
+  disturbedAt: number;
+  address: string;
+}
+
+/** Everything that runs. */
+export interface World {
+  folder: string;
+  store: StoreStandIn;
+  storeRelays: Relay[];
+  engines: SoakEngine[];
+  engineRelays: Relay[];
+  entries: SoakProcess[];
+  agents: SoakProcess[];
+  /** Servers told to leave, with the time. */
+  leaving: Map<string, number>;
+  writeConfiguration: (keys: readonly string[]) => void;
+  close: () => Promise<void>;
+}
+
+/** Starts a world of some entries and engines. */
+export async function startWorld(
+  seed: number,
+  entryCount: number,
+  engineCount: number,
+  draw: () => number,
+): Promise<World> {
+  const folder = join(mkdtempSync(join(tmpdir(), 'masticbend-soak-')), String(seed));
+  mkdirSync(folder);
+  const store = await startStoreStandIn();
+  const leaving = new Map<string, number>();
+  const state = { version: 0, closing: false };
+  const engines: SoakEngine[] = [];
+  const engineRelays: Relay[] = [];
+  for (let index = 0; index < engineCount; index += 1) {
+    const host = `127.0.1.${index + 1}`;
+    const engine = await startEngine(`i-${index}`, host, draw);
+    engines.push(engine);
+    engineRelays.push(await startRelay(host, engine.address));
+  }
+
+  function registerServers(): void {
+    engines.forEach(({ id }, index) => {
+      store.put('servers', id, {
+        service: 'desk',
+        address: engineRelays[index]!.address,
+        zone: `z${index % 2}`,
+        slots: SLOTS,
+        state: leaving.has(id) ? 'draining' : 'ready',
+        cold_left_ms: 0,
+        born: 1,
+        sequence: performance.now(),
+      });
+    });
+  }
+
+  function startProcess(name: string, program: string, settings: string): SoakProcess {
+    const file = join(folder, `${name}.toml`);
+    writeFileSync(file, settings);
+    const log = openSync(join(folder, `${name}.log`), 'a');
+    const running = { name, disturbedAt: -Infinity, address: '' } as SoakProcess;
+    const start = () => {
+      if (state.closing) return;
+      const command = [`target/masticbend-${program}.cjs`, file];
+      running.child = spawn(process.execPath, command, { stdio: ['ignore', log, log] });
+      running.child.once('exit', () => setTimeout(start, RESTART_MS));
+    };
+    start();
+    return running;
+  }
+
+  const registration = setInterval(registerServers, REGISTRATION_MS);
+  registerServers();
+  const storeRelays: Relay[] = [];
+  const entries: SoakProcess[] = [];
+  for (let index = 0; index < entryCount; index += 1) {
+    const host = `127.0.0.${index + 11}`;
+    const relay = await startRelay(host, store.address);
+    storeRelays.push(relay);
+    const settings = formatEntry(`entry-${index}`, host, `z${index % 2}`, relay.address);
+    const entry = startProcess(`entry-${index}`, 'entry', settings);
+    entry.address = `${host}:${PORTS.caller}`;
+    entries.push(entry);
+  }
+  const agents = engines.map(({ address }, index) => {
+    const host = address.split(':')[0]!;
+    return startProcess(`agent-${index}`, 'agent', formatAgent(`agent-${index}`, host));
+  });
+
+  return {
+    folder,
+    store,
+    storeRelays,
+    engines,
+    engineRelays,
+    entries,
+    agents,
+    leaving,
+    writeConfiguration(keys) {
+      state.version += 1 + Math.floor(draw() * 3);
+      store.put('op', 'config', createDocument(state.version, keys));
+    },
+    async close() {
+      state.closing = true;
+      clearInterval(registration);
+      for (const { child } of [...entries, ...agents]) child.kill('SIGKILL');
+      for (const relay of [...storeRelays, ...engineRelays]) relay.close();
+      for (const engine of engines) engine.close();
+      await store.close();
+    },
+  };
+}
+
+function formatEntry(name: string, host: string, zone: string, store: string): string {
+  return `instance = "${name}"
+dataCentre = "${zone}"
+callerAddress = "${host}:${PORTS.caller}"
+readinessAddress = "${host}:${PORTS.readiness}"
+meshAddress = "${host}:${PORTS.mesh}"
+metricsAddress = "${host}:${PORTS.metrics}"
+storeAddress = "${store}"
+[bounds]
+graceS = ${BOUNDS.graceS}
+keyFreshnessMs = ${BOUNDS.keyFreshnessMs}
+configurationMs = ${BOUNDS.configurationMs}
+leavingMs = ${BOUNDS.leavingMs}
+repeatRatio = 0.2
+repeatSlack = 60
+repeatWindowS = 10
+`;
+}
+
+function formatAgent(name: string, host: string): string {
+  return `instance = "${name}"
+meshAddress = "${host}:${PORTS.mesh}"
+metricsAddress = "${host}:${PORTS.metrics}"
+`;
+}
+
+function createDocument(version: number, keys: readonly string[]): object {
+  const route = {
+    host: 'desk.example',
+    service: 'desk',
+    timeout_ms: 3_000,
+    slo_ms: 400,
+    gap_slo_ms: 250,
+    priority: 1,
+    anonymous: false,
+  };
+  return {
+    version,
+    routes: [
+      { ...route, name: 'once', prefix: '/once/', route_kind: 'non_idempotent', max_attempts: 1 },
+      { ...route, name: 'again', prefix: '/again/', route_kind: 'idempotent', max_attempts: 2 },
+      { ...route, name: 'stream', prefix: '/stream/', route_kind: 'streaming', max_attempts: 1 },
+      {
+        ...route,
+        name: 'resume',
+        prefix: '/resume-stream/',
+        route_kind: 'streaming',
+        resumable: true,
+        max_attempts: 2,
+      },
+    ],
+    services: [{ name: 'desk', health_path: '/h', max_conns: 100, engine: { slots: SLOTS } }],
+    limits: {
+      max_header_bytes: 16_384,
+      max_body_bytes: 100_000,
+      header_timeout_ms: 3_000,
+      idle_timeout_ms: 15_000,
+    },
+    tenants: [{ name: 'bakery', api_keys: keys, priority: 1, rate_per_s: 0 }],
+  };
+}
--- /dev/null
+++ b/packages/bench/test/soak.test.ts
@@ -0,0 +1,24 @@
+/** A short seeded run of the fault soak with the bundled programs. */
+import { spawnSync } from 'node:child_process';
+import { fileURLToPath } from 'node:url';
+import { expect } from 'chai';
+
+const ROOT = fileURLToPath(new URL('../../../', import.meta.url));
+const TIME_LIMIT_MS = 90_000;
+
+/** Runs a script of node in the root of the repository. */
+function runNode(args: string[]) {
+  return spawnSync(process.execPath, args, { cwd: ROOT, encoding: 'utf8', timeout: TIME_LIMIT_MS });
+}
+
+describe('fault soak', function describeSoak() {
+  this.timeout(2 * TIME_LIMIT_MS);
+
+  it('keeps every promise with fixed seeds', () => {
+    expect(runNode(['scripts/bundle.mjs']).status).to.equal(0);
+    const args = ['--seed', '1', '--seeds', '2', '--seconds', '3', '--rate', '30'];
+    const { stdout, status } = runNode(['packages/bench/dist/soak.js', ...args]);
+    expect(stdout).to.include('2 of 2 seeds kept every promise');
+    expect(status).to.equal(0);
+  });
+});
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -1,7 +1,7 @@
 /** One entry with a store stand-in and scripted backend servers, all on loopback. */
 import { createServer, type AddressInfo } from 'node:net';
 import { request as send } from 'undici';
-import { startStoreStandIn, type StoreStandIn } from '@masticbend/platform/test/store-standin';
+import { startStoreStandIn, type StoreStandIn } from '@masticbend/platform/store-standin';
 import { createGateway, type Gateway } from '../src/gateway.js';
 import type { GatewaySettings } from '../src/settings.js';
 import { startBackend, type Script, type ScriptedBackend } from './backend.js';
--- a/packages/gateway/test/sharing.test.ts
+++ b/packages/gateway/test/sharing.test.ts
@@ -1,6 +1,6 @@
 /** Two entries that share an account's limit, and what one may admit when the other is lost. */
 import { expect } from 'chai';
-import { startStoreStandIn, type StoreStandIn } from '@masticbend/platform/test/store-standin';
+import { startStoreStandIn, type StoreStandIn } from '@masticbend/platform/store-standin';
 import { createSystemClock } from '@masticbend/kernel/clock';
 import { createSilentLogger } from '@masticbend/kernel/log';
 import { createStore, type Store } from '@masticbend/platform/store';
