Bound what the mesh keeps of restarted peers, and drop a late connection to a server that is gone

Found while reading the diff: the units of each incarnation were kept for ever, and a connection dialled before a server was replaced could have pushed out the one of its successor at the same agent.

--- a/packages/gateway/src/peer-mesh.ts
+++ b/packages/gateway/src/peer-mesh.ts
@@ -70,8 +70,8 @@
   const { self, incarnation, clock, log, describe, onReport, onLost, onRound } = options;
   const peers = new Map<string, Peer>();
   const dialledAt = new Map<string, number>();
-  /** Units of each incarnation seen last, kept while its connection is away. */
-  const lastUnits = new Map<string, Map<string, number>>();
+  /** Units of each instance's last incarnation, kept while its connection is away. */
+  const lastUnits = new Map<string, { incarnation: string; units: Map<string, number> }>();
   let members: readonly Member[] = [];
   let server: Server | undefined;
   let stopRound = () => {};
@@ -100,14 +100,14 @@
 
   function addPeer(instance: string, peerIncarnation: string, connection: Connection): Peer {
     const known = peers.get(instance);
-    const key = `${instance} ${peerIncarnation}`;
+    const last = lastUnits.get(instance);
     const peer: Peer = {
       instance,
       incarnation: peerIncarnation,
       connection,
       heardAt: clock.now(),
       heard: true,
-      units: lastUnits.get(key),
+      units: last?.incarnation === peerIncarnation ? last.units : undefined,
     };
     peers.set(instance, peer);
     if (known && known.connection !== connection) known.connection.close('replaced');
@@ -136,7 +136,7 @@
       units.set(account, total);
     });
     peer.units = units;
-    lastUnits.set(`${peer.instance} ${peer.incarnation}`, units);
+    lastUnits.set(peer.instance, { incarnation: peer.incarnation, units });
     const running = new Map(message.servers.map((id, index) => [id, message.running[index] ?? 0]));
     onReport(peer.instance, { running, admitted });
   }
--- a/packages/gateway/src/permit-client.ts
+++ b/packages/gateway/src/permit-client.ts
@@ -84,6 +84,10 @@
     socket.once('connect', () => {
       stopTimer();
       link.dialling = false;
+      if (links.get(link.server.id) !== link) {
+        socket.destroy();
+        return;
+      }
       const connection = createConnection(socket, clock, {
         onMessage: (message) => {
           if (message.kind === 'permit') receivePermit(link, message.request, message);
