--- a/packages/bench/src/soak/world.ts
+++ b/packages/bench/src/soak/world.ts
@@ -10,8 +10,14 @@
 import { startEngine, type SoakEngine } from './engine.js';
 import { startRelay, type Relay } from './relay.js';
 
-/** Ports of the processes, the same on each loopback address. */
-const PORTS = { caller: 18_501, readiness: 18_502, mesh: 18_503, metrics: 18_504 };
+/** Ports of the processes, the same on each loopback address, apart from those of other soaks. */
+const FIRST_PORT = 20_000 + (process.pid % 1_000) * 4;
+const PORTS = {
+  caller: FIRST_PORT,
+  readiness: FIRST_PORT + 1,
+  mesh: FIRST_PORT + 2,
+  metrics: FIRST_PORT + 3,
+};
 /** Time after which an ended process is started again, in milliseconds. */
 const RESTART_MS = 300;
 /** Time between registrations of the backend servers, in milliseconds. */
--- a/packages/gateway/test/sharing.test.ts
+++ b/packages/gateway/test/sharing.test.ts
@@ -8,7 +8,8 @@
 import { createPeerMesh, type PeerMesh, type PeerReport } from '../src/peer-mesh.js';
 import { waitUntil } from './harness.js';
 
-const PORT = 17_931;
+/** One port for all entries, apart from that of other test runs. */
+const PORT = 16_000 + (process.pid % 1_000);
 /** Time in which a peer that fell silent no longer counts as heard, in milliseconds. */
 const HEARD_LIMIT_MS = 1_000;
 
