--- a/scripts/start-cost.mjs
+++ b/scripts/start-cost.mjs
@@ -49,5 +49,7 @@
   });
 }
 
-for (let run = 0; run < RUNS; run += 1)
-  process.stdout.write(`${JSON.stringify(await measureStart())}\n`);
+for (let run = 0; run < RUNS; run += 1) {
+  const { processorMs, memoryMb } = await measureStart();
+  process.stdout.write(`${processorMs} ms of processor time, ${memoryMb} MB\n`);
+}
