Drop a server from the list once another starts at its address

Its log shows, from the restart of crashed servers on, two links of one entry to the same agent, one for the old id whose row had not lapsed and one for the new: each closed the other every 50 ms, and with it freed the permits held. The same rows explain requests answered 421. Test failed before.

--- a/packages/scheduling/src/server-list.ts
+++ b/packages/scheduling/src/server-list.ts
@@ -26,6 +26,7 @@
   expire: (now: number) => ServerChange[];
   /** Time at which `expire` has something to do. */
   findNextExpiry: () => number | undefined;
+  /** Servers that may be there, one for each address. */
   list: () => BackendServer[];
 }
 
@@ -83,6 +84,16 @@
       });
     },
     findNextExpiry: () => (missing.size > 0 ? Math.min(...missing.values()) : undefined),
-    list: () => [...servers.values()],
+    list: () => selectNewest([...servers.values()]),
   };
 }
+
+/** An address has one server at a time: a later start there ends those before it. */
+function selectNewest(servers: readonly BackendServer[]): BackendServer[] {
+  const newest = new Map<string, BackendServer>();
+  for (const server of servers) {
+    const known = newest.get(server.address);
+    if (!known || server.bornAt >= known.bornAt) newest.set(server.address, server);
+  }
+  return [...newest.values()];
+}
--- a/packages/scheduling/test/server-list.test.ts
+++ b/packages/scheduling/test/server-list.test.ts
@@ -50,6 +50,15 @@
     expect(list.list().map(({ id }) => id)).to.deep.equal(['1']);
   });
 
+  it('drops a crashed server once another starts at its address, before its row is gone', () => {
+    const list = createServerList();
+    const address = '10.0.0.1:80';
+    list.setAll(0, [createServer('old', { address, bornAt: 5 }), createServer('2')]);
+    list.set(createServer('new', { address, bornAt: 9 }));
+    list.set(createServer('old', { address, bornAt: 5 }));
+    expect(list.list().map(({ id }) => id)).to.have.members(['new', '2']);
+  });
+
   it('takes a server that says it leaves as leaving also after an outage', () => {
     const list = createServerList();
     list.setAll(0, [createServer('1')]);
