Move placement, server entries and gateway messages into modules of their own; one dial, one listener

Cause: read once more. The placement of requests stood inside requests.ts (514 lines, now 352), dialling and listening were written twice, units were given back in two places, the estimate of a hold time was computed where only the moment to start by was needed, the number of permits ahead stood twice, the soak named the platform's rows outside its adapter, and a few members were never called.

--- a/packages/bench/src/soak/world.ts
+++ b/packages/bench/src/soak/world.ts
@@ -6,7 +6,13 @@
 import { mkdirSync, mkdtempSync, openSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import {
+  registerServer,
+  SERVICE,
+  writeConfiguration,
+} from '@masticbend/platform/deployment-standin';
 import { startStoreStandIn, type StoreStandIn } from '@masticbend/platform/store-standin';
+import { ServerState } from '@masticbend/settings/routing';
 import { startEngine, type SoakEngine } from './engine.js';
 import { startRelay, type Relay } from './relay.js';
 
@@ -36,8 +42,6 @@
 export interface SoakProcess {
   name: string;
   child: ChildProcess;
-  /** Time of the last unplanned fault on it. */
-  disturbedAt: number;
   address: string;
 }
 
@@ -79,15 +83,15 @@
 
   function registerServers(): void {
     engines.forEach(({ id }, index) => {
-      store.put('servers', id, {
-        service: 'desk',
+      registerServer(store, {
+        id,
+        bornAt: 1,
+        service: SERVICE,
         address: engineRelays[index]!.address,
-        zone: `z${index % 2}`,
+        dataCentre: `z${index % 2}`,
         slots: SLOTS,
-        state: leaving.has(id) ? 'draining' : 'ready',
-        cold_left_ms: 0,
-        born: 1,
-        sequence: performance.now(),
+        state: leaving.has(id) ? ServerState.Leaving : ServerState.Ready,
+        coldMs: 0,
       });
     });
   }
@@ -96,7 +100,7 @@
     const file = join(folder, `${name}.toml`);
     writeFileSync(file, settings);
     const log = openSync(join(folder, `${name}.log`), 'a');
-    const running = { name, disturbedAt: -Infinity, address: '' } as SoakProcess;
+    const running = { name, address: '' } as SoakProcess;
     const start = () => {
       if (state.closing) return;
       const command = [`target/masticbend-${program}.cjs`, file];
@@ -136,7 +140,7 @@
     leaving,
     writeConfiguration(keys) {
       state.version += 1 + Math.floor(draw() * 3);
-      store.put('op', 'config', createDocument(state.version, keys));
+      writeConfiguration(store, state.version, keys, SLOTS);
     },
     async close() {
       state.closing = true;
@@ -174,39 +178,3 @@
 metricsAddress = "${host}:${PORTS.metrics}"
 `;
 }
-
-function createDocument(version: number, keys: readonly string[]): object {
-  const route = {
-    host: 'desk.example',
-    service: 'desk',
-    timeout_ms: 3_000,
-    slo_ms: 400,
-    gap_slo_ms: 250,
-    priority: 1,
-    anonymous: false,
-  };
-  return {
-    version,
-    routes: [
-      { ...route, name: 'once', prefix: '/once/', route_kind: 'non_idempotent', max_attempts: 1 },
-      { ...route, name: 'again', prefix: '/again/', route_kind: 'idempotent', max_attempts: 2 },
-      { ...route, name: 'stream', prefix: '/stream/', route_kind: 'streaming', max_attempts: 1 },
-      {
-        ...route,
-        name: 'resume',
-        prefix: '/resume-stream/',
-        route_kind: 'streaming',
-        resumable: true,
-        max_attempts: 2,
-      },
-    ],
-    services: [{ name: 'desk', health_path: '/h', max_conns: 100, engine: { slots: SLOTS } }],
-    limits: {
-      max_header_bytes: 16_384,
-      max_body_bytes: 100_000,
-      header_timeout_ms: 3_000,
-      idle_timeout_ms: 15_000,
-    },
-    tenants: [{ name: 'bakery', api_keys: keys, priority: 1, rate_per_s: 0 }],
-  };
-}
--- a/packages/gateway/src/administration.ts
+++ b/packages/gateway/src/administration.ts
@@ -4,8 +4,7 @@
 import { LogEvent } from '@masticbend/kernel/log';
 import { Metric } from '@masticbend/kernel/metrics';
 import { READINESS_PATH } from '@masticbend/platform/ingress';
-import { parseAddress } from '@masticbend/settings/address';
-import { startServer } from './ingress.js';
+import { startServer } from './network.js';
 import type { GatewayServices } from './services.js';
 import type { GatewaySettings } from './settings.js';
 
@@ -49,10 +48,8 @@
         else response.end(metrics.render());
       });
       servers.push(readiness, operators);
-      const ready = parseAddress(settings.readinessAddress);
-      const operator = parseAddress(settings.metricsAddress);
-      await startServer(readiness, ready.host, ready.port);
-      await startServer(operators, operator.host, operator.port);
+      await startServer(readiness, settings.readinessAddress);
+      await startServer(operators, settings.metricsAddress);
     },
     stop() {
       for (const server of servers) {
--- a/packages/gateway/src/delivery.ts
+++ b/packages/gateway/src/delivery.ts
@@ -28,8 +28,6 @@
   /** Answers with a failure of the system, or breaks off an answer that began. */
   fail: (failure: Failure) => void;
   hasBegun: () => boolean;
-  /** Tells whether the answer is over or the caller is gone. */
-  isClosed: () => boolean;
 }
 
 /** Wraps a response; `onAbandoned` is called when the caller leaves before its end. */
@@ -84,6 +82,5 @@
       response.end(JSON.stringify(body));
     },
     hasBegun: () => begun,
-    isClosed: () => closed,
   };
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,7 +3,12 @@
  * which they stop.
  */
 import { randomBytes } from 'node:crypto';
-import { createElapsedTime, createSystemClock, type Clock } from '@masticbend/kernel/clock';
+import {
+  createElapsedTime,
+  createSystemClock,
+  waitFor,
+  type Clock,
+} from '@masticbend/kernel/clock';
 import { createKernel, type Kernel, type Lifecycle } from '@masticbend/kernel/kernel';
 import { createLogger, LogEvent, type Logger } from '@masticbend/kernel/log';
 import { createMetrics, Metric } from '@masticbend/kernel/metrics';
@@ -98,20 +103,14 @@
   const requests = kernel.find('requests');
   const closeAt = clock.now() + LAME_DUCK_MS;
   ingress.beginStop();
-  while (clock.now() < closeAt) await waitFor(STOP_CHECK_MS);
+  while (clock.now() < closeAt) await waitFor(clock, STOP_CHECK_MS);
   ingress.refuseNew();
   do {
     ingress.closeIdle();
-    await waitFor(STOP_CHECK_MS);
+    await waitFor(clock, STOP_CHECK_MS);
   } while (requests.countOpen() > 0 && clock.now() < stopAt);
 }
 
-function waitFor(durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-}
-
 function createStoreService(address: string): Store & Lifecycle {
   const store = createStore(address);
   return { ...store, stop: store.close };
@@ -156,16 +155,17 @@
   kernel: Kernel<GatewayServices>,
   { instance, meshAddress }: GatewaySettings,
 ): PermitClient {
-  const requests = () => kernel.find('requests');
+  // The requests ask the permits too, so they are found when the first answer comes.
+  const agentEvents = () => kernel.find('requests').agentEvents;
   return createPermitClient({
     instance,
     port: parseAddress(meshAddress).port,
     clock: kernel.find('clock'),
     log: kernel.find('log'),
     events: {
-      onPermit: (server, request) => requests().receivePermit(server, request),
-      onRefusal: (server, request, waitMs) => requests().receiveRefusal(server, request, waitMs),
-      onLost: (server, request) => requests().receiveLoss(server, request),
+      onPermit: (server, request) => agentEvents().onPermit(server, request),
+      onRefusal: (server, request, waitMs) => agentEvents().onRefusal(server, request, waitMs),
+      onLost: (server, request) => agentEvents().onLost(server, request),
     },
   });
 }
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -4,14 +4,13 @@
  * each answer asks the caller to leave.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
 import type { Clock } from '@masticbend/kernel/clock';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import { readCallerFacts } from '@masticbend/platform/ingress';
 import { ErrorKind, type Failure } from '@masticbend/protocol/error';
 import type { CallerLimits } from '@masticbend/settings/routing';
-import { parseAddress } from '@masticbend/settings/address';
 import { createDelivery } from './delivery.js';
+import { startServer } from './network.js';
 import type { Requests } from './requests.js';
 
 /** Bytes of a head that the parser takes, whatever the configuration says. */
@@ -54,7 +53,6 @@
   refuseNew: () => void;
   /** Closes unused connections. */
   closeIdle: () => void;
-  countConnections: () => number;
   /** Cuts whatever is still open. */
   stop: () => void;
 }
@@ -62,7 +60,6 @@
 /** Returns a server that does not listen yet. */
 export function createIngress(options: IngressOptions): Ingress {
   const { clock, log, requests } = options;
-  const sockets = new Set<Socket>();
   let stopping = false;
   let refusing = false;
 
@@ -119,16 +116,11 @@
     handleRequest,
   );
   server.on('checkContinue', handleRequest);
-  server.on('connection', (socket) => {
-    sockets.add(socket);
-    socket.once('close', () => sockets.delete(socket));
-  });
 
   return {
     start() {
-      const { host, port } = parseAddress(options.address);
       applyLimits(server, getLimits());
-      return startServer(server, host, port);
+      return startServer(server, options.address);
     },
     applyLimits: () => applyLimits(server, getLimits()),
     beginStop() {
@@ -139,7 +131,6 @@
       server.close();
     },
     closeIdle: () => server.closeIdleConnections(),
-    countConnections: () => sockets.size,
     stop() {
       server.close();
       server.closeAllConnections();
@@ -147,17 +138,6 @@
   };
 }
 
-/** Resolves once a server listens. */
-export function startServer(server: Server, host: string, port: number): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, () => {
-      server.off('error', reject);
-      resolve();
-    });
-  });
-}
-
 function applyLimits(server: Server, { headerMs, idleMs }: CallerLimits): void {
   server.headersTimeout = headerMs;
   server.keepAliveTimeout = idleMs + IDLE_MARGIN_MS;
--- a/packages/gateway/src/peer-mesh.ts
+++ b/packages/gateway/src/peer-mesh.ts
@@ -3,13 +3,14 @@
  * dials. Each sends the others what it runs and what it has admitted; a peer counts as heard while
  * its reports keep coming.
  */
-import { connect, createServer, type Server, type Socket } from 'node:net';
+import { createServer, type Server, type Socket } from 'node:net';
 import type { Clock } from '@masticbend/kernel/clock';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import { createConnection, type Connection } from '@masticbend/protocol/connection';
-import type { PeerReportMessage } from '@masticbend/protocol/message';
+import type { PeerReportMessage } from '@masticbend/protocol/gateway-message';
 import { parseAddress } from '@masticbend/settings/address';
 import type { Member } from './members.js';
+import { dialSocket, startServer } from './network.js';
 
 /**
  * Interval of reports while something changes, more of it for each peer so that the traffic grows
@@ -158,24 +159,11 @@
       const due = (dialledAt.get(instance) ?? -Infinity) + DIAL_INTERVAL_MS <= now;
       if (self.instance < instance && !peers.has(instance) && due) {
         dialledAt.set(instance, now);
-        dial(address);
+        dialSocket(clock, { ...parseAddress(address), limitMs: DIAL_LIMIT_MS }, openConnection);
       }
     }
   }
 
-  function dial(address: string): void {
-    const { host, port } = parseAddress(address);
-    const socket = connect({ host, port });
-    const stopTimer = clock.startTimer(DIAL_LIMIT_MS, () => socket.destroy());
-    // A failed dial is tried again at the next interval.
-    socket.once('error', () => undefined);
-    socket.once('close', stopTimer);
-    socket.once('connect', () => {
-      stopTimer();
-      openConnection(socket);
-    });
-  }
-
   function checkPeers(now: number): void {
     for (const peer of [...peers.values()]) {
       const silentMs = now - peer.heardAt;
@@ -217,14 +205,9 @@
 
   return {
     start() {
-      const { host, port } = parseAddress(self.address);
-      const listener = createServer({ noDelay: true }, openConnection);
-      server = listener;
+      server = createServer({ noDelay: true }, openConnection);
       runRound();
-      return new Promise((resolve, reject) => {
-        listener.once('error', reject);
-        listener.listen(port, host, resolve);
-      });
+      return startServer(server, self.address);
     },
     stop() {
       stopRound();
--- a/packages/gateway/src/permit-agent.ts
+++ b/packages/gateway/src/permit-agent.ts
@@ -2,8 +2,7 @@
 import { createServer } from 'node:http';
 import { createSystemClock } from '@masticbend/kernel/clock';
 import { createLogger, LogEvent } from '@masticbend/kernel/log';
-import { parseAddress } from '@masticbend/settings/address';
-import { startServer } from './ingress.js';
+import { startServer } from './network.js';
 import { createPermitServer } from './permit-server.js';
 import type { Runnable } from './program.js';
 import type { AgentSettings } from './settings.js';
@@ -20,9 +19,8 @@
   return {
     log,
     async start() {
-      const { host, port } = parseAddress(settings.metricsAddress);
       await permits.start();
-      await startServer(operators, host, port);
+      await startServer(operators, settings.metricsAddress);
       log.info(LogEvent.ProcessStarted, { address: settings.meshAddress });
     },
     async stop() {
--- a/packages/gateway/src/permit-client.ts
+++ b/packages/gateway/src/permit-client.ts
@@ -3,14 +3,19 @@
  * usable while its reports keep coming; what waits at one that is not is handed back at once, so
  * that the request can go another way.
  */
-import { connect } from 'node:net';
+import type { Socket } from 'node:net';
 import type { Clock } from '@masticbend/kernel/clock';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import { createConnection, type Connection } from '@masticbend/protocol/connection';
-import type { PermitRequestMessage } from '@masticbend/protocol/message';
+import type {
+  PermitRefusalMessage,
+  PermitRequestMessage,
+} from '@masticbend/protocol/gateway-message';
+import type { Message } from '@masticbend/protocol/message';
 import type { AgentLoad } from '@masticbend/scheduling/server-board';
 import { parseAddress } from '@masticbend/settings/address';
 import type { BackendServer } from '@masticbend/settings/routing';
+import { dialSocket } from './network.js';
 
 /** Silence after which an agent is not asked any more, in milliseconds. */
 const HEARD_LIMIT_MS = 500;
@@ -36,7 +41,6 @@
   release: (server: string, request: string) => void;
   /** Notes a request that was sent without a permit, and its end by `release`. */
   addRunning: (server: string, request: string) => void;
-  countUsable: () => number;
   start: () => void;
   stop: () => void;
 }
@@ -71,48 +75,51 @@
 
   function dial(link: AgentLink): void {
     const { host } = parseAddress(link.server.address);
-    const socket = connect({ host, port });
     link.dialling = true;
     link.dialledAt = clock.now();
-    const stopTimer = clock.startTimer(DIAL_LIMIT_MS, () => socket.destroy());
-    // A failed dial is tried again at the next interval.
-    socket.once('error', () => undefined);
-    socket.once('close', () => {
-      stopTimer();
-      link.dialling = false;
+    dialSocket(
+      clock,
+      { host, port, limitMs: DIAL_LIMIT_MS },
+      (socket) => openLink(link, socket),
+      () => {
+        link.dialling = false;
+      },
+    );
+  }
+
+  function openLink(link: AgentLink, socket: Socket): void {
+    if (links.get(link.server.id) !== link) {
+      socket.destroy();
+      return;
+    }
+    const connection = createConnection(socket, clock, {
+      onMessage: (message) => receiveMessage(link, message),
+      onClose(reason) {
+        if (link.connection === connection) dropLink(link, reason);
+      },
     });
-    socket.once('connect', () => {
-      stopTimer();
-      link.dialling = false;
-      if (links.get(link.server.id) !== link) {
-        socket.destroy();
-        return;
-      }
-      const connection = createConnection(socket, clock, {
-        onMessage: (message) => {
-          if (message.kind === 'permit') receivePermit(link, message.request, message);
-          else if (message.kind === 'permit-refusal') {
-            receiveLoad(link, message);
-            if (link.wishes.delete(message.request)) {
-              events.onRefusal(link.server.id, message.request, message.waitMs);
-            }
-          } else if (message.kind === 'permit-report') receiveLoad(link, message);
-        },
-        onClose: (reason) => {
-          if (link.connection === connection) dropLink(link, reason);
-        },
-      });
-      link.connection = connection;
-      connection.send({
-        kind: 'permit-hello',
-        instance,
-        server: link.server.id,
-        slots: link.server.slots,
-        running: [...link.running],
-      });
+    link.connection = connection;
+    connection.send({
+      kind: 'permit-hello',
+      instance,
+      server: link.server.id,
+      slots: link.server.slots,
+      running: [...link.running],
     });
   }
 
+  function receiveMessage(link: AgentLink, message: Message): void {
+    if (message.kind === 'permit') receivePermit(link, message.request, message);
+    else if (message.kind === 'permit-report') receiveLoad(link, message);
+    else if (message.kind === 'permit-refusal') receiveRefusal(link, message);
+  }
+
+  function receiveRefusal(link: AgentLink, message: PermitRefusalMessage): void {
+    receiveLoad(link, message);
+    if (!link.wishes.delete(message.request)) return;
+    events.onRefusal(link.server.id, message.request, message.waitMs);
+  }
+
   function receiveLoad(link: AgentLink, { held, firstWaitMs, lastWaitMs }: AgentLoad): void {
     link.heardAt = clock.now();
     link.load = { held, firstWaitMs, lastWaitMs };
@@ -200,7 +207,6 @@
     addRunning(server, request) {
       links.get(server)?.running.add(request);
     },
-    countUsable: () => [...links.values()].filter(({ usable }) => usable).length,
     start: checkLinks,
     stop() {
       stopCheck();
--- a/packages/gateway/src/permit-server.ts
+++ b/packages/gateway/src/permit-server.ts
@@ -9,7 +9,7 @@
 import type { Message } from '@masticbend/protocol/message';
 import { createPermitQueue, type PermitAnswer } from '@masticbend/scheduling/permit-queue';
 import type { AgentLoad } from '@masticbend/scheduling/server-board';
-import { parseAddress } from '@masticbend/settings/address';
+import { startServer } from './network.js';
 
 /** Interval of the check for wishes that waited too long, in milliseconds. */
 const EXPIRY_CHECK_MS = 10;
@@ -130,14 +130,9 @@
 
   return {
     start() {
-      const { host, port } = parseAddress(address);
-      const listener = createServer({ noDelay: true }, openConnection);
-      server = listener;
+      server = createServer({ noDelay: true }, openConnection);
       sendReports();
-      return new Promise((resolve, reject) => {
-        listener.once('error', reject);
-        listener.listen(port, host, resolve);
-      });
+      return startServer(server, address);
     },
     stop() {
       stopExpiry?.();
--- a/packages/gateway/src/request-log.ts
+++ b/packages/gateway/src/request-log.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '@masticbend/kernel/clock';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import type { Failure } from '@masticbend/protocol/error';
-import { countHeld, type ServerEntry } from '@masticbend/scheduling/server-board';
+import { countHeld, type ServerEntry } from '@masticbend/scheduling/server-entry';
 import type { IncomingRequest, RequestState } from './request-state.js';
 
 /** Writer of the lines. */
--- a/packages/gateway/src/request-state.ts
+++ b/packages/gateway/src/request-state.ts
@@ -1,7 +1,7 @@
 /** What one entry knows of a request between its arrival and its final answer. */
 import type { CallerFacts } from '@masticbend/platform/ingress';
 import { chooseService } from '@masticbend/scheduling/gateway-route';
-import type { PlacedWork } from '@masticbend/scheduling/server-board';
+import type { PlacedWork } from '@masticbend/scheduling/server-entry';
 import type { GatewayAccount, GatewayRoute } from '@masticbend/settings/routing';
 import type { Attempt, AttemptResult } from './attempt.js';
 import type { ExchangeRequest } from './backend-client.js';
--- a/packages/gateway/src/request-timing.ts
+++ b/packages/gateway/src/request-timing.ts
@@ -29,12 +29,22 @@
     account: account?.name ?? '',
     tier,
     arrivedAt: incoming.arrivedAt,
-    startBy: computeStartBy(now, board.estimateFirstMs(service, work), state),
+    startBy: computeStartBy(now, board, state),
     costMs: board.estimateHoldMs(service, work),
     tokens: (incoming.facts.promptTokens ?? 0) + (incoming.facts.outputTokens ?? 0),
   };
 }
 
+/** Returns the moment after which a start would be too late. */
+export function computeStartBy(
+  now: number,
+  board: Pick<ServerBoard, 'estimateFirstMs'>,
+  { route, service, work, incoming, deadlineAt, mayHaveRun }: RequestState,
+): number {
+  if (mayHaveRun > 0) return Math.min(deadlineAt, now + route.objectiveMs * REPEAT_WAIT_PART);
+  return incoming.arrivedAt + chooseWait(route, board.estimateFirstMs(service, work));
+}
+
 /** Returns the silence of a server after which a request is repeated; 0 where none is allowed. */
 export function chooseSilence({ route, sent }: RequestState): number {
   if (route.repeat === Repeat.Never || sent + 1 >= route.attempts) return 0;
@@ -43,12 +53,6 @@
   return Math.max(LEAST_SILENCE_MS, first, between);
 }
 
-function computeStartBy(now: number, firstMs: number, state: RequestState): number {
-  const { route, incoming, deadlineAt, mayHaveRun } = state;
-  if (mayHaveRun > 0) return Math.min(deadlineAt, now + route.objectiveMs * REPEAT_WAIT_PART);
-  return incoming.arrivedAt + chooseWait(route, firstMs);
-}
-
 /** What cannot meet its objective loses nothing more by waiting for a place. */
 function chooseWait({ objectiveMs }: GatewayRoute, firstMs: number): number {
   const spareMs = objectiveMs * WAIT_PART - firstMs;
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -7,21 +7,18 @@
 import { ErrorKind, type Failure } from '@masticbend/protocol/error';
 import type { RepeatBudget } from '@masticbend/scheduling/repeat-budget';
 import { createRetryAdvice, LEAST_RETRY_MS } from '@masticbend/scheduling/retry-advice';
-import type {
-  AgentLoad,
-  Choice,
-  ServerBoard,
-  ServerEntry,
-} from '@masticbend/scheduling/server-board';
+import type { ServerBoard } from '@masticbend/scheduling/server-board';
+import type { ServerEntry } from '@masticbend/scheduling/server-entry';
 import { countUnits, type SharedLimits } from '@masticbend/scheduling/shared-limit';
 import type { WaitingLine } from '@masticbend/scheduling/waiting-line';
 import { Repeat } from '@masticbend/settings/routing';
-import { checkAccess, checkAccessAgain, OUTAGE_RETRY_MS, type CheckKeys } from './access.js';
+import { checkAccess, checkAccessAgain, type CheckKeys } from './access.js';
 import { startAttempt, type AttemptResult } from './attempt.js';
 import type { BackendClient } from './backend-client.js';
 import type { ConfigurationView } from './configuration-view.js';
 import type { Delivery } from './delivery.js';
-import type { PermitClient } from './permit-client.js';
+import type { PermitClient, PermitEvents } from './permit-client.js';
+import { createPlacement } from './placement.js';
 import { createRequestLog } from './request-log.js';
 import {
   createRequestState,
@@ -29,17 +26,12 @@
   type RequestOutcome,
   type RequestState,
 } from './request-state.js';
-import { chooseSilence, describeWaiting } from './request-timing.js';
+import { chooseSilence } from './request-timing.js';
 
 /** Time left to a backend server's own answer at the deadline, in milliseconds. */
 const DEADLINE_MARGIN_MS = 40;
-/** Interval of the check for requests that waited too long, in milliseconds. */
-const EXPIRY_CHECK_MS = 10;
 /** Time a server that had no room is passed over, in milliseconds. */
 const FULL_PAUSE_MS = 30;
-/** Agents asked for one request at a time, and in all. */
-const PARALLEL_ASKS = 2;
-const MOST_ASKS = 4;
 /** What the requests need from the rest of the entry. */
 export interface RequestsOptions {
   clock: Clock;
@@ -65,9 +57,7 @@
   /** Sends waiting requests to places that came free. */
   pump: () => void;
   /** Answers of agents. */
-  receivePermit: (server: string, id: string) => void;
-  receiveRefusal: (server: string, id: string, waitMs: number) => void;
-  receiveLoss: (server: string, id: string) => void;
+  agentEvents: PermitEvents;
   countOpen: () => number;
   dump: () => unknown;
   stop: () => void;
@@ -80,7 +70,13 @@
   let next = 1;
   const advice = createRetryAdvice(drawRandom);
   const lines = createRequestLog(clock, options.log);
-  let stopExpiry: (() => void) | undefined;
+  const placement = createPlacement({
+    ...options,
+    findOpen: (id) => open.get(id),
+    drawRetryMs,
+    send: sendToServer,
+    refuse: finishUnserved,
+  });
 
   function accept(incoming: IncomingRequest, connect: (onAbandoned: () => void) => Delivery): void {
     const view = options.getView();
@@ -103,7 +99,7 @@
       return;
     }
     repeats.recordRequest(clock.now(), state.service);
-    place(state);
+    placement.place(state);
   }
 
   function startDeadline(state: RequestState): void {
@@ -124,120 +120,6 @@
     return { kind: ErrorKind.RateLimited, retryAfterMs: drawRetryMs(state, waitMs) };
   }
 
-  /** Sends a request to a backend server, asks its agent, or lets it wait, or refuses it. */
-  function place(state: RequestState): void {
-    const now = clock.now();
-    const { service } = state;
-    const choice = chooseServer(state);
-    if (choice.kind === 'server' && choice.load) {
-      reserveBest(state, choice.entry, choice.load);
-    } else if (choice.kind === 'none') {
-      finishUnserved(state, createPlaceFailure(state));
-    } else if (choice.kind === 'full' && choice.waitMs !== undefined) {
-      const retryAfterMs = drawRetryMs(state, choice.waitMs);
-      finishUnserved(state, { kind: ErrorKind.Overloaded, retryAfterMs });
-    } else if (choice.kind === 'server' && line.count(service) === 0) {
-      sendToServer(state, choice.entry, choice.finishMs);
-    } else {
-      waitInLine(state, now);
-      if (choice.kind === 'server') sendWaiting(service);
-    }
-  }
-
-  function chooseServer(state: RequestState): Choice {
-    const now = clock.now();
-    const { service, work, tier, tried, asked, deadlineAt } = state;
-    return board.choose(now, {
-      service,
-      work,
-      tier,
-      excluded: new Set([...tried, ...asked]),
-      waitMs: describeWaiting(clock.now(), board, state).startBy - now,
-      leftMs: deadlineAt - now,
-      findLoad: permits.findLoad,
-    });
-  }
-
-  function createPlaceFailure(state: RequestState): Failure {
-    if (state.refusedWaitMs === undefined) {
-      return { kind: ErrorKind.NoBackendServer, retryAfterMs: OUTAGE_RETRY_MS };
-    }
-    return { kind: ErrorKind.Overloaded, retryAfterMs: drawRetryMs(state, state.refusedWaitMs) };
-  }
-
-  function waitInLine(state: RequestState, now: number): void {
-    const { places } = board.countPlaces(now, state.service);
-    const waitMs = line.add(
-      now,
-      describeWaiting(clock.now(), board, state),
-      places / options.countInstances(),
-    );
-    if (waitMs === undefined) {
-      scheduleExpiry();
-      return;
-    }
-    const retryAfterMs = drawRetryMs(state, waitMs);
-    finishUnserved(state, { kind: ErrorKind.Overloaded, retryAfterMs });
-  }
-
-  /** Asks the agent of the best server; where it would wait, that of the next best as well. */
-  function reserveBest(state: RequestState, best: ServerEntry, load: AgentLoad): void {
-    reserveAt(state, best);
-    if (load.held < best.server.slots || state.asked.size >= PARALLEL_ASKS) return;
-    const second = chooseServer(state);
-    if (second.kind === 'server' && second.load) reserveAt(state, second.entry);
-  }
-
-  function reserveAt(state: RequestState, { server }: ServerEntry): void {
-    const { id, account, tier, tokens, costMs, startBy } = describeWaiting(
-      clock.now(),
-      board,
-      state,
-    );
-    const now = clock.now();
-    state.asked.add(server.id);
-    state.asks += 1;
-    const waitMs = Math.max(0, startBy - now);
-    permits.ask(server.id, { request: id, account, tier, tokens, holdMs: costMs, waitMs });
-  }
-
-  function receivePermit(serverId: string, id: string): void {
-    const state = open.get(id);
-    const entry = board.find(serverId);
-    state?.asked.delete(serverId);
-    if (!state || state.attempt || !entry) {
-      permits.release(serverId, id);
-      return;
-    }
-    releaseAsks(state);
-    const held = permits.findLoad(serverId)?.held ?? 0;
-    sendToServer(state, entry, board.estimateFinishMs(entry, state.work, held));
-  }
-
-  function receiveRefusal(serverId: string, id: string, waitMs: number): void {
-    const state = open.get(id);
-    if (!state) return;
-    state.asked.delete(serverId);
-    state.refusedWaitMs = Math.min(waitMs, state.refusedWaitMs ?? Infinity);
-    if (state.attempt || state.asked.size > 0) return;
-    state.tried.add(serverId);
-    const isLate = clock.now() >= describeWaiting(clock.now(), board, state).startBy;
-    if (isLate || state.asks >= MOST_ASKS) finishUnserved(state, createPlaceFailure(state));
-    else place(state);
-  }
-
-  function receiveLoss(serverId: string, id: string): void {
-    const state = open.get(id);
-    if (!state) return;
-    state.asked.delete(serverId);
-    if (!state.attempt && state.asked.size === 0) place(state);
-  }
-
-  function releaseAsks(state: RequestState): void {
-    for (const server of state.asked) permits.release(server, state.id);
-    state.asked.clear();
-  }
-
   function sendToServer(state: RequestState, entry: ServerEntry, finishMs: number): void {
     const { incoming, delivery, route, account, work } = state;
     const now = clock.now();
@@ -297,7 +179,7 @@
             board.recordWork(entry, clock.now() - startedAt);
           }
           handleResult(state, entry, result);
-          sendWaiting(state.service);
+          placement.sendWaiting(state.service);
         },
       },
     );
@@ -319,10 +201,10 @@
     }
     recordTrouble(state, entry, result, now);
     if (result.kind === 'unsent') {
-      place(state);
+      placement.place(state);
     } else if (takeRepeat(state)) {
       lines.writeRepeated(state, entry);
-      place(state);
+      placement.place(state);
     } else {
       finishUnserved(state, { kind: ErrorKind.Overloaded, retryAfterMs: drawRetryMs(state, 0) });
     }
@@ -388,13 +270,16 @@
 
   function refuse(state: RequestState, failure: Failure): void {
     lines.writeRefused(state, failure, line.count(state.service));
-    if (state.account && state.units > 0) {
-      limits.refund(clock.now(), state.account.name, state.units);
-    }
+    returnUnits(state);
     state.delivery.fail(failure);
     finish(state, failure.kind, false);
   }
 
+  /** What did not run does not count against its account's limit. */
+  function returnUnits({ account, units }: RequestState): void {
+    if (account && units > 0) limits.refund(clock.now(), account.name, units);
+  }
+
   function fail(state: RequestState, failure: Failure): void {
     lines.writeFailed(state, failure);
     state.delivery.fail(failure);
@@ -403,7 +288,7 @@
 
   function finish(state: RequestState, outcome: string, logged = true): void {
     state.stopDeadline();
-    releaseAsks(state);
+    placement.withdraw(state);
     open.delete(state.id);
     const totalMs = clock.now() - state.incoming.arrivedAt;
     if (logged) lines.writeFinished(state, outcome);
@@ -418,7 +303,6 @@
 
   function handleDeadline(state: RequestState): void {
     if (!open.has(state.id)) return;
-    line.remove(state.service, state.id);
     const wasSent = state.attempt?.wasSent() ?? false;
     stopAttempt(state);
     if (wasSent) state.mayHaveRun += 1;
@@ -428,71 +312,27 @@
       state.lastReason ||= 'deadline';
       fail(state, { kind: ErrorKind.AnswerTimeout });
     }
-    sendWaiting(state.service);
+    placement.sendWaiting(state.service);
   }
 
   function abortRequest(state: RequestState): void {
     if (!open.has(state.id)) return;
-    line.remove(state.service, state.id);
     const wasSent = state.sent > 0;
     stopAttempt(state);
-    if (!wasSent && state.account && state.units > 0) {
-      limits.refund(clock.now(), state.account.name, state.units);
-    }
+    if (!wasSent) returnUnits(state);
     lines.writeAbandoned(state);
     finish(state, 'abandoned', false);
-    sendWaiting(state.service);
+    placement.sendWaiting(state.service);
   }
 
   function stopAttempt(state: RequestState): void {
-    releaseAsks(state);
+    placement.withdraw(state);
     if (!state.attempt) return;
     state.attempt.abort();
     state.attempt = undefined;
     state.release();
   }
 
-  function sendWaiting(service: string): void {
-    for (let id = line.getFirst(service); id !== undefined; id = line.getFirst(service)) {
-      const state = open.get(id);
-      if (!state) {
-        line.remove(service, id);
-      } else {
-        const choice = chooseServer(state);
-        if (choice.kind === 'full') return;
-        line.take(service, id);
-        if (choice.kind === 'none') finishUnserved(state, createPlaceFailure(state));
-        else if (choice.load) place(state);
-        else sendToServer(state, choice.entry, choice.finishMs);
-      }
-    }
-  }
-
-  function sendAllWaiting(): void {
-    for (const service of line.listServices()) sendWaiting(service);
-  }
-
-  function checkExpiry(): void {
-    stopExpiry = undefined;
-    for (const id of line.expire(clock.now())) {
-      const state = open.get(id);
-      if (state) {
-        finishUnserved(state, {
-          kind: ErrorKind.DeadlineUnreachable,
-          retryAfterMs: drawRetryMs(state, 0),
-        });
-      }
-    }
-    sendAllWaiting();
-    scheduleExpiry();
-  }
-
-  /** Runs the check only while something waits: each wake-up costs processor time. */
-  function scheduleExpiry(): void {
-    if (stopExpiry || line.listServices().length === 0) return;
-    stopExpiry = clock.startTimer(EXPIRY_CHECK_MS, checkExpiry);
-  }
-
   function drawRetryMs({ incoming }: RequestState, waitMs: number): number {
     const leftMs = incoming.arrivedAt + (incoming.facts.deadlineMs ?? 0) - clock.now();
     return advice.drawMs(waitMs, leftMs);
@@ -500,15 +340,13 @@
 
   return {
     accept,
-    pump: sendAllWaiting,
-    receivePermit,
-    receiveRefusal,
-    receiveLoss,
+    pump: placement.sendAllWaiting,
+    agentEvents: placement.agentEvents,
     countOpen: () => open.size,
     dump: () => ({
       open: open.size,
       waiting: Object.fromEntries(line.listServices().map((name) => [name, line.count(name)])),
     }),
-    stop: () => stopExpiry?.(),
+    stop: placement.stop,
   };
 }
--- a/packages/gateway/src/services.ts
+++ b/packages/gateway/src/services.ts
@@ -38,5 +38,4 @@
   getView: () => ConfigurationView | undefined;
   areKeysFresh: () => boolean;
   isRecent: () => boolean;
-  getAgeMs: () => number;
 }
--- a/packages/gateway/src/view-service.ts
+++ b/packages/gateway/src/view-service.ts
@@ -87,7 +87,6 @@
     getView: () => view,
     areKeysFresh: checkKeys,
     isRecent: () => getAgeMs() < keyFreshnessMs * READINESS_PART,
-    getAgeMs,
     dump: () => ({ version: view?.configuration.version, revision: feed.getRevision() }),
   };
 }
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -4,6 +4,16 @@
  * moment of sending, since no two clocks agree.
  */
 import type { Failure } from './error.js';
+import type {
+  PeerHelloMessage,
+  PeerReportMessage,
+  PermitHelloMessage,
+  PermitMessage,
+  PermitRefusalMessage,
+  PermitReleaseMessage,
+  PermitReportMessage,
+  PermitRequestMessage,
+} from './gateway-message.js';
 
 /** Version of this message set; both ends must match. */
 export const PROTOCOL_VERSION = 1;
@@ -370,86 +380,6 @@
   entries: number;
 }
 
-/** Entry → entry, first message either way. */
-export interface PeerHelloMessage {
-  kind: 'peer-hello';
-  instance: string;
-  /** Differs between two processes of the same instance. */
-  incarnation: string;
-}
-
-/**
- * Entry → entry: what the sender runs and has admitted. Lists go by position; backend servers not
- * named run nothing of it.
- */
-export interface PeerReportMessage {
-  kind: 'peer-report';
-  servers: string[];
-  running: number[];
-  accounts: string[];
-  /** Units admitted since the sender's start, by account. */
-  units: number[];
-}
-
-/** Entry → agent, first message: the server it wants permits for, and what it runs there. */
-export interface PermitHelloMessage {
-  kind: 'permit-hello';
-  instance: string;
-  server: string;
-  /** Requests the backend server runs together. */
-  slots: number;
-  /** Requests of the entry that run there already. */
-  running: string[];
-}
-
-/** Entry → agent: asks to send one request to the backend server. */
-export interface PermitRequestMessage {
-  kind: 'permit-request';
-  request: string;
-  account: string;
-  tier: number;
-  tokens: number;
-  /** Time the request will hold its permit, in milliseconds. */
-  holdMs: number;
-  /** Longest useful wait, in milliseconds. */
-  waitMs: number;
-}
-
-/** Agent → entry: the request may be sent now. */
-export interface PermitMessage {
-  kind: 'permit';
-  request: string;
-  held: number;
-  /** Expected wait of a request of the highest and of the lowest tier, in milliseconds. */
-  firstWaitMs: number;
-  lastWaitMs: number;
-}
-
-/** Agent → entry: the request would wait too long, or has. */
-export interface PermitRefusalMessage {
-  kind: 'permit-refusal';
-  request: string;
-  /** Wait that was expected, in milliseconds. */
-  waitMs: number;
-  held: number;
-  firstWaitMs: number;
-  lastWaitMs: number;
-}
-
-/** Entry → agent: the request ended, or is no longer wanted here. */
-export interface PermitReleaseMessage {
-  kind: 'permit-release';
-  request: string;
-}
-
-/** Agent → entry, at intervals. */
-export interface PermitReportMessage {
-  kind: 'permit-report';
-  held: number;
-  firstWaitMs: number;
-  lastWaitMs: number;
-}
-
 export type Message =
   | ChallengeMessage
   | HelloMessage
--- a/packages/scheduling/src/permit-queue.ts
+++ b/packages/scheduling/src/permit-queue.ts
@@ -3,14 +3,12 @@
  * is on its way when a place comes free. Requests of all entries wait in one order: strict tiers,
  * fair shares between accounts inside a tier. A state machine without clocks or sockets.
  */
-import type { PermitRequestMessage } from '@masticbend/protocol/message';
+import type { PermitRequestMessage } from '@masticbend/protocol/gateway-message';
 import { createQueue } from './queue.js';
 import type { QueuedWork } from './queued-work.js';
-import type { AgentLoad } from './server-board.js';
+import { AHEAD, type AgentLoad } from './server-board.js';
 import { createWaitingWork, TIERS } from './waiting-line.js';
 
-/** Requests sent ahead of a free place. */
-const AHEAD = 1;
 /** How far the mean hold time follows the last one. */
 const HOLD_STEP = 0.1;
 
--- a/packages/scheduling/src/server-board.ts
+++ b/packages/scheduling/src/server-board.ts
@@ -4,15 +4,19 @@
  * whether it fails. Chooses the server on which a request is expected to finish first.
  */
 import { ServerState, type BackendServer } from '@masticbend/settings/routing';
+import {
+  countHeld,
+  createServerEntry,
+  estimateFinishMs,
+  estimateFirstMs,
+  type PlacedWork,
+  type ServerEntry,
+} from './server-entry.js';
 
 /** How far an estimate follows the last observation. */
 const PACE_STEP = 0.1;
 const READING_STEP = 0.15;
 const FAILURE_STEP = 0.15;
-/** Estimates for a server not yet observed: those of a middling engine. */
-const INITIAL_PACE_MS = 30;
-const INITIAL_READING_MS = 60;
-const INITIAL_WORK_MS = 100;
 /** Failures in a row without an answer after which a server is left out, and for how long. */
 const EJECTION_FAILURES = 2;
 const EJECTION_MS = 1_000;
@@ -21,39 +25,10 @@
 const FAILURE_COST_MS = 400;
 /** Penalty of a server in another data centre, whose bytes cost money: a part of the time taken. */
 const DISTANCE_PART = 0.25;
-/** Slow-down of an engine by each request beside, as a share of its pace. */
-const CROWDING = 0.03;
 /** Part of the time left in which a whole answer must be expected. */
 const IN_TIME_PART = 0.9;
 /** Requests sent ahead of a free place, so that an engine does not idle for a round trip. */
-const AHEAD = 1;
-
-/** What placement needs to know of a request. */
-export interface PlacedWork {
-  /** Prompt tokens, 0 for plain services. */
-  promptTokens: number;
-  /** Events that are expected in the answer; 0 for plain services. */
-  events: number;
-}
-
-/** State of one backend server. */
-export interface ServerEntry {
-  server: BackendServer;
-  /** Requests this instance has sent and that still run. */
-  running: number;
-  /** Prompt tokens of those that have not yet answered. */
-  readingTokens: number;
-  /** Requests that peers run there. */
-  peerRunning: Map<string, number>;
-  paceMs: number | undefined;
-  /** Time to the first event for each thousand prompt tokens in line. */
-  readingMs: number | undefined;
-  /** Time of a whole answer that is no stream. */
-  workMs: number | undefined;
-  failureShare: number;
-  failuresInRow: number;
-  ejectedUntil: number;
-}
+export const AHEAD = 1;
 
 /** What the agent beside a server says of it. */
 export interface AgentLoad {
@@ -113,8 +88,8 @@
   /** Middling estimates over a service's servers, in milliseconds. */
   estimateFirstMs: (service: string, work: PlacedWork) => number;
   estimateHoldMs: (service: string, work: PlacedWork) => number;
-  /** Places of a service and those in use. */
-  countPlaces: (now: number, service: string) => { places: number; used: number };
+  /** Places of a service's servers that may be used. */
+  countPlaces: (now: number, service: string) => number;
   listServers: () => readonly ServerEntry[];
 }
 
@@ -223,48 +198,20 @@
       return new Map(counted.map(([id, { running }]) => [id, running]));
     },
     find: (id) => entries.get(id),
-    estimateFinishMs: (entry, work, held) => estimateFinishMs(entry, work, held),
+    estimateFinishMs,
     estimateFirstMs: (service, work) =>
       computeMean(service, (entry) => estimateFirstMs(entry, work)),
     estimateHoldMs: (service, work) =>
       computeMean(service, (entry) => estimateFinishMs(entry, work, countHeld(entry))),
     countPlaces(now, service) {
-      let places = 0;
-      let used = 0;
-      for (const entry of entries.values()) {
-        if (entry.server.service === service && isUsable(now, entry)) {
-          places += entry.server.slots;
-          used += Math.min(entry.server.slots, countHeld(entry));
-        }
-      }
-      return { places, used };
+      const usable = [...entries.values()].filter((entry) => isUsable(now, entry));
+      const listed = usable.filter(({ server }) => server.service === service);
+      return listed.reduce((sum, { server }) => sum + server.slots, 0);
     },
     listServers: () => [...entries.values()],
   };
 }
 
-/** Returns what is held at a server by all instances, as far as known. */
-export function countHeld(entry: ServerEntry): number {
-  let held = entry.running;
-  for (const running of entry.peerRunning.values()) held += running;
-  return held;
-}
-
-function createServerEntry(server: BackendServer): ServerEntry {
-  return {
-    server,
-    running: 0,
-    readingTokens: 0,
-    peerRunning: new Map(),
-    paceMs: undefined,
-    readingMs: undefined,
-    workMs: undefined,
-    failureShare: 0,
-    failuresInRow: 0,
-    ejectedUntil: 0,
-  };
-}
-
 function findNoLoad(): undefined {
   return undefined;
 }
@@ -310,24 +257,6 @@
   return tier === 0 ? firstWaitMs : lastWaitMs;
 }
 
-function estimateFinishMs(entry: ServerEntry, work: PlacedWork, held: number): number {
-  const { slots } = entry.server;
-  if (work.events === 0) {
-    const workMs = entry.workMs ?? INITIAL_WORK_MS;
-    const excess = Math.max(0, held + 1 - slots);
-    return workMs * (1 + excess + (held / slots) * CROWDING);
-  }
-  const paceMs = (entry.paceMs ?? INITIAL_PACE_MS) * (1 + Math.min(held, slots) * CROWDING);
-  return estimateFirstMs(entry, work) + paceMs * work.events;
-}
-
-/** Time to the first event, or to the whole answer of a plain service. */
-function estimateFirstMs(entry: ServerEntry, work: PlacedWork): number {
-  if (work.events === 0) return entry.workMs ?? INITIAL_WORK_MS;
-  const thousands = (entry.readingTokens + work.promptTokens) / 1_000 + 1;
-  return thousands * (entry.readingMs ?? INITIAL_READING_MS);
-}
-
 function mergeEstimate(known: number | undefined, observed: number, step: number): number {
   return known === undefined ? observed : known + (observed - known) * step;
 }
