Ask several agents for one place, serve what can be on time first

Requests waited in the lines of two agents while places came free at others, reviews of the first tier for 330 ms on average; late answers to returned callers took places from answers on time; waits were estimated by a middling server's times. Slots were all held at every engine, none leaked. Change: up to six agents are asked at once and the first place taken; a place is chosen where the first event is on time; what cannot be on time waits behind all that can, for a tenth of its time limit; agents scale expected waits by their own hold times and by the waits that each rank had; reading times are learned by what was in line at sending. A server that answers as another one is left out for 8 s or until its registration changes (was 30 ms); callers of a process without configuration come back after 0.4 s (was 1 s).

--- a/packages/gateway/src/access.ts
+++ b/packages/gateway/src/access.ts
@@ -5,6 +5,8 @@
 
 /** Advice while the store is away, in milliseconds. */
 export const OUTAGE_RETRY_MS = 1_000;
+/** Advice of a process that has just started: it reads its configuration in that time. */
+const START_RETRY_MS = 400;
 
 /** Tells whether the keys in force are known recently enough to admit by them. */
 export type CheckKeys = () => boolean;
@@ -15,12 +17,15 @@
   { host, target, facts }: IncomingRequest,
   areKeysFresh: CheckKeys,
 ): Failure | Access {
-  const retryAfterMs = OUTAGE_RETRY_MS;
-  if (!view) return { kind: ErrorKind.ConfigurationUnavailable, retryAfterMs };
+  if (!view) {
+    return { kind: ErrorKind.ConfigurationUnavailable, retryAfterMs: START_RETRY_MS };
+  }
   const route = view.routes.find(host, target);
   if (!route) return { kind: ErrorKind.NotFound };
   if (route.anonymous || view.configuration.accounts.length === 0) return { route };
-  if (!areKeysFresh()) return { kind: ErrorKind.PlatformUnavailable, retryAfterMs };
+  if (!areKeysFresh()) {
+    return { kind: ErrorKind.PlatformUnavailable, retryAfterMs: OUTAGE_RETRY_MS };
+  }
   const account = view.accounts.get(facts.apiKey ?? '');
   return account ? { route, account } : { kind: ErrorKind.Unauthenticated };
 }
--- a/packages/gateway/src/permit-client.ts
+++ b/packages/gateway/src/permit-client.ts
@@ -120,9 +120,9 @@
     events.onRefusal(link.server.id, message.request, message.waitMs);
   }
 
-  function receiveLoad(link: AgentLink, { held, firstWaitMs, lastWaitMs }: AgentLoad): void {
+  function receiveLoad(link: AgentLink, { held, waitsMs }: AgentLoad): void {
     link.heardAt = clock.now();
-    link.load = { held, firstWaitMs, lastWaitMs };
+    link.load = { held, waitsMs };
     if (link.usable) return;
     link.usable = true;
     log.info(LogEvent.AgentChanged, { server: link.server.id, usable: true, held });
@@ -195,7 +195,7 @@
       if (!link) return;
       link.wishes.add(wish.request);
       // Until the agent's next word, so that several requests at once do not take the same place.
-      link.load.held += 1;
+      if (link.load.held < link.server.slots) link.load.held += 1;
       link.connection?.send({ kind: 'permit-request', ...wish });
     },
     release(server, request) {
@@ -223,7 +223,7 @@
     dialledAt: -Infinity,
     heardAt: 0,
     usable: false,
-    load: { held: 0, firstWaitMs: 0, lastWaitMs: 0 },
+    load: { held: 0, waitsMs: [0] },
     wishes: new Set(),
     running: new Set(),
   };
--- a/packages/gateway/src/permit-server.ts
+++ b/packages/gateway/src/permit-server.ts
@@ -99,13 +99,13 @@
           ? { kind: 'permit', request, ...load }
           : { kind: 'permit-refusal', request, ...load, waitMs: refusedWaitMs };
       owners.get(owner)?.send(message);
-      log.debug(LogEvent.PermitAnswered, { request, owner, refusedWaitMs, ...load });
+      log.debug(LogEvent.PermitAnswered, { request, owner, refusedWaitMs, held: load.held });
     }
   }
 
   function describeLoad(): AgentLoad {
-    const { held, firstWaitMs, lastWaitMs } = queue.report();
-    return { held, firstWaitMs, lastWaitMs };
+    const { held, waitsMs } = queue.report();
+    return { held, waitsMs };
   }
 
   function createReport(): Message {
@@ -141,11 +141,11 @@
       for (const connection of owners.values()) connection.close('stopping');
     },
     renderMetrics() {
-      const { held, waiting, lastWaitMs } = queue.report();
+      const { held, waiting, waitsMs } = queue.report();
       const gauges = {
         masticbend_permits_held: held,
         masticbend_permits_waiting: waiting,
-        masticbend_permits_wait_ms: lastWaitMs,
+        masticbend_permits_wait_ms: waitsMs.at(-1) ?? 0,
         masticbend_connected_entries: owners.size,
       };
       return Object.entries(gauges)
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -4,19 +4,25 @@
  */
 import type { Clock } from '@masticbend/kernel/clock';
 import { ErrorKind, type Failure } from '@masticbend/protocol/error';
-import type { AgentLoad, Choice, ServerBoard } from '@masticbend/scheduling/server-board';
+import { computeRank } from '@masticbend/scheduling/rank';
+import type {
+  AgentLoad,
+  Choice,
+  ServerBoard,
+  ServerChoice,
+} from '@masticbend/scheduling/server-board';
 import type { ServerEntry } from '@masticbend/scheduling/server-entry';
 import type { WaitingLine } from '@masticbend/scheduling/waiting-line';
 import { OUTAGE_RETRY_MS } from './access.js';
 import type { PermitClient, PermitEvents } from './permit-client.js';
 import type { RequestState } from './request-state.js';
-import { computeStartBy, describeWaiting } from './request-timing.js';
+import { computeLateWaitMs, computeOnTimeMs, describeWaiting } from './request-timing.js';
 
 /** Interval of the check for requests that waited too long, in milliseconds. */
 const EXPIRY_CHECK_MS = 10;
 /** Agents asked for one request at a time, and in all. */
-const PARALLEL_ASKS = 2;
-const MOST_ASKS = 4;
+const PARALLEL_ASKS = 6;
+const MOST_ASKS = 12;
 
 /** What placement needs. */
 export interface PlacementOptions {
@@ -58,7 +64,7 @@
     const { service } = state;
     const choice = chooseServer(state);
     if (choice.kind === 'server' && choice.load) {
-      reserveBest(state, choice.entry, choice.load);
+      reserveBest(state, choice, choice.load);
     } else if (choice.kind === 'none') {
       refuse(state, createPlaceFailure(state));
     } else if (choice.kind === 'full' && choice.waitMs !== undefined) {
@@ -78,9 +84,11 @@
     return board.choose(now, {
       service,
       work,
-      tier,
+      rank: computeRank(tier, false),
+      lateRank: computeRank(tier, true),
       excluded: new Set([...tried, ...asked]),
-      waitMs: computeStartBy(now, board, state) - now,
+      onTimeMs: computeOnTimeMs(now, state),
+      lateWaitMs: computeLateWaitMs(now, state),
       leftMs: deadlineAt - now,
       findLoad: permits.findLoad,
     });
@@ -95,8 +103,12 @@
 
   function waitInLine(state: RequestState): void {
     const now = clock.now();
-    const places = board.countPlaces(now, state.service) / options.countInstances();
-    const waitMs = line.add(now, describeWaiting(now, board, state), places);
+    const { service, tier, work } = state;
+    const places = board.countPlaces(now, service) / options.countInstances();
+    const firstMs = board.estimateFirstMs(service, work);
+    const expectedMs = line.estimateWaitMs(service, computeRank(tier, false), places) + firstMs;
+    const onTime = expectedMs <= computeOnTimeMs(now, state);
+    const waitMs = line.add(now, describeWaiting(now, board, state, { onTime, firstMs }), places);
     if (waitMs === undefined) {
       scheduleExpiry();
       return;
@@ -105,21 +117,29 @@
     refuse(state, { kind: ErrorKind.Overloaded, retryAfterMs });
   }
 
-  /** Asks the agent of the best server; where it would wait, that of the next best as well. */
-  function reserveBest(state: RequestState, best: ServerEntry, load: AgentLoad): void {
-    reserveAt(state, best);
-    if (load.held < best.server.slots || state.asked.size >= PARALLEL_ASKS) return;
-    const second = chooseServer(state);
-    if (second.kind === 'server' && second.load) reserveAt(state, second.entry);
+  /** Asks the agent of the best server; where it would wait, those of the next best as well. */
+  function reserveBest(state: RequestState, best: ServerChoice, load: AgentLoad): void {
+    if (load.held < best.entry.server.slots) {
+      reserveAt(state, best, 1);
+      return;
+    }
+    let next: Choice = best;
+    while (next.kind === 'server' && next.load && next.onTime === best.onTime) {
+      reserveAt(state, next, PARALLEL_ASKS);
+      if (state.asked.size >= PARALLEL_ASKS) return;
+      next = chooseServer(state);
+    }
   }
 
-  function reserveAt(state: RequestState, { server }: ServerEntry): void {
+  function reserveAt(state: RequestState, expected: ServerChoice, agents: number): void {
     const now = clock.now();
-    const { id, account, tier, tokens, costMs, startBy } = describeWaiting(now, board, state);
+    const { server } = expected.entry;
+    const wish = describeWaiting(now, board, state, expected);
+    const { id, account, rank, tokens, costMs, startBy } = wish;
     state.asked.add(server.id);
     state.asks += 1;
     const waitMs = Math.max(0, startBy - now);
-    permits.ask(server.id, { request: id, account, tier, tokens, holdMs: costMs, waitMs });
+    permits.ask(server.id, { request: id, account, rank, tokens, holdMs: costMs, waitMs, agents });
   }
 
   function receivePermit(serverId: string, id: string): void {
@@ -143,7 +163,7 @@
     if (state.attempt || state.asked.size > 0) return;
     state.tried.add(serverId);
     const now = clock.now();
-    const isLate = now >= computeStartBy(now, board, state);
+    const isLate = computeLateWaitMs(now, state) <= 0;
     if (isLate || state.asks >= MOST_ASKS) refuse(state, createPlaceFailure(state));
     else place(state);
   }
--- a/packages/gateway/src/request-log.ts
+++ b/packages/gateway/src/request-log.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '@masticbend/kernel/clock';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import type { Failure } from '@masticbend/protocol/error';
-import { countHeld, type ServerEntry } from '@masticbend/scheduling/server-entry';
+import { countHeld, estimateFirstMs, type ServerEntry } from '@masticbend/scheduling/server-entry';
 import type { IncomingRequest, RequestState } from './request-state.js';
 
 /** Writer of the lines. */
@@ -45,8 +45,11 @@
         own: entry.running,
         slots: server.slots,
         expectedMs: Math.round(finishMs),
+        expectedFirstMs: Math.round(estimateFirstMs(entry, state.work)),
+        promptTokens: state.work.promptTokens,
         waitedMs: getTotalMs(state),
         attempt: state.sent + 1,
+        returned: state.returned,
       });
     },
     writeAttemptFailed(state, { server }, result) {
@@ -82,6 +85,10 @@
         account: state.account?.name,
         version: state.version,
         waitedMs: getTotalMs(state),
+        returned: state.returned,
+        promptTokens: state.work.promptTokens,
+        asks: state.asks,
+        expectedWaitMs: state.refusedWaitMs && Math.round(state.refusedWaitMs),
         waiting,
         last: state.lastReason,
       });
@@ -98,8 +105,10 @@
     },
     writeFinished(state, status) {
       const request = state.incoming.facts.requestId;
-      const { sent } = state;
-      log.info(LogEvent.RequestFinished, { request, status, sent, totalMs: getTotalMs(state) });
+      const { sent, firstByteAt, incoming } = state;
+      const firstMs = firstByteAt && Math.round(firstByteAt - incoming.arrivedAt);
+      const totalMs = getTotalMs(state);
+      log.info(LogEvent.RequestFinished, { request, status, sent, firstMs, totalMs });
     },
     writeAbandoned(state) {
       const request = state.incoming.facts.requestId;
--- a/packages/gateway/src/request-state.ts
+++ b/packages/gateway/src/request-state.ts
@@ -41,6 +41,8 @@
   service: string;
   account?: GatewayAccount;
   tier: number;
+  /** The caller was refused before; its answer is late in any case. */
+  returned: boolean;
   version: number;
   work: PlacedWork;
   units: number;
@@ -53,6 +55,8 @@
   refusedWaitMs: number | undefined;
   /** Servers that it was sent to. */
   sent: number;
+  /** When the first byte of an answer came; undefined until then. */
+  firstByteAt: number | undefined;
   /** Attempts that may have run. */
   mayHaveRun: number;
   lastEventId?: string;
@@ -79,6 +83,7 @@
   { route, account }: Access,
   { configuration }: ConfigurationView,
   drawRandom: () => number,
+  returned: boolean,
 ): RequestState {
   const { facts, arrivedAt } = incoming;
   const service = chooseService(route, drawRandom);
@@ -92,6 +97,7 @@
     service,
     account,
     tier: account?.tier ?? route.tier,
+    returned,
     version: configuration.version,
     work: describeWork(route, facts, engine?.tokensPerEvent ?? 1),
     units: 0,
@@ -102,6 +108,7 @@
     refusedWaitMs: undefined,
     sent: 0,
     mayHaveRun: 0,
+    firstByteAt: undefined,
     lastReason: '',
     release: () => {},
     stopDeadline: () => {},
--- a/packages/gateway/src/request-timing.ts
+++ b/packages/gateway/src/request-timing.ts
@@ -1,48 +1,61 @@
 /** How long a request may wait for a place, and how long its server may be silent. */
+import { computeRank } from '@masticbend/scheduling/rank';
 import type { ServerBoard } from '@masticbend/scheduling/server-board';
 import type { WaitingRequest } from '@masticbend/scheduling/waiting-line';
-import { Repeat, type GatewayRoute } from '@masticbend/settings/routing';
+import { Repeat } from '@masticbend/settings/routing';
 import type { RequestState } from './request-state.js';
 
-/** Part of the objective in which a request must be sent, less the time to its first byte. */
-const WAIT_PART = 0.85;
-/** Least wait that a request is allowed, as a part of its objective. */
-const LEAST_WAIT_PART = 0.25;
-/** Wait of a request whose first byte will be late in any case, and of a repeat, likewise. */
-const LATE_WAIT_PART = 2;
+/** Part of the objective in which the first byte is planned. */
+const ON_TIME_PART = 0.85;
+/** Wait of a request whose answer will be late in any case: a part of its time limit. */
+const LATE_WAIT_PART = 0.1;
+/** Wait of a repeat, as a part of the objective. */
 const REPEAT_WAIT_PART = 2;
 /** Silence after which a repeatable request goes elsewhere: parts of objective and pause. */
 const SILENT_OBJECTIVES = 2.5;
 const SILENT_PAUSES = 4;
 const LEAST_SILENCE_MS = 600;
 
-/** Describes a request that looks for a place. */
+/** What is expected of a place that a request waits for. */
+export interface ExpectedPlace {
+  /** The first byte is expected on time. */
+  onTime: boolean;
+  /** Time from the start to the first byte, in milliseconds. */
+  firstMs: number;
+}
+
+/** Describes a request that waits for a place. */
 export function describeWaiting(
   now: number,
-  board: Pick<ServerBoard, 'estimateFirstMs' | 'estimateHoldMs'>,
+  board: Pick<ServerBoard, 'estimateHoldMs'>,
   state: RequestState,
+  { onTime, firstMs }: ExpectedPlace,
 ): WaitingRequest {
-  const { id, service, account, tier, work, incoming } = state;
+  const { id, service, account, work, incoming } = state;
+  const waitMs = onTime ? computeOnTimeMs(now, state) - firstMs : computeLateWaitMs(now, state);
   return {
     id,
     service,
     account: account?.name ?? '',
-    tier,
+    rank: computeRank(state.tier, !onTime),
     arrivedAt: incoming.arrivedAt,
-    startBy: computeStartBy(now, board, state),
+    startBy: now + Math.max(0, waitMs),
     costMs: board.estimateHoldMs(service, work),
     tokens: (incoming.facts.promptTokens ?? 0) + (incoming.facts.outputTokens ?? 0),
   };
 }
 
-/** Returns the moment after which a start would be too late. */
-export function computeStartBy(
-  now: number,
-  board: Pick<ServerBoard, 'estimateFirstMs'>,
-  { route, service, work, incoming, deadlineAt, mayHaveRun }: RequestState,
-): number {
-  if (mayHaveRun > 0) return Math.min(deadlineAt, now + route.objectiveMs * REPEAT_WAIT_PART);
-  return incoming.arrivedAt + chooseWait(route, board.estimateFirstMs(service, work));
+/** Returns the time left for a first byte that is on time; below 0 where none can be. */
+export function computeOnTimeMs(now: number, { incoming, route, returned }: RequestState): number {
+  if (returned) return -1;
+  return incoming.arrivedAt + route.objectiveMs * ON_TIME_PART - now;
+}
+
+/** Returns how long a request whose answer will be late may still wait for a place. */
+export function computeLateWaitMs(now: number, state: RequestState): number {
+  const { route, incoming, deadlineAt, mayHaveRun } = state;
+  if (mayHaveRun > 0) return Math.min(deadlineAt - now, route.objectiveMs * REPEAT_WAIT_PART);
+  return incoming.arrivedAt + (deadlineAt - incoming.arrivedAt) * LATE_WAIT_PART - now;
 }
 
 /** Returns the silence of a server after which a request is repeated; 0 where none is allowed. */
@@ -52,10 +65,3 @@
   const between = route.streamed ? route.pauseMs * SILENT_PAUSES : 0;
   return Math.max(LEAST_SILENCE_MS, first, between);
 }
-
-/** What cannot meet its objective loses nothing more by waiting for a place. */
-function chooseWait({ objectiveMs }: GatewayRoute, firstMs: number): number {
-  const spareMs = objectiveMs * WAIT_PART - firstMs;
-  if (spareMs <= 0) return objectiveMs * LATE_WAIT_PART;
-  return Math.max(objectiveMs * LEAST_WAIT_PART, spareMs);
-}
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -5,7 +5,9 @@
 import type { Clock } from '@masticbend/kernel/clock';
 import type { Logger } from '@masticbend/kernel/log';
 import { ErrorKind, type Failure } from '@masticbend/protocol/error';
+import { isMisdirected } from '@masticbend/platform/ingress';
 import type { RepeatBudget } from '@masticbend/scheduling/repeat-budget';
+import { createReturnEstimate } from '@masticbend/scheduling/rank';
 import { createRetryAdvice, LEAST_RETRY_MS } from '@masticbend/scheduling/retry-advice';
 import type { ServerBoard } from '@masticbend/scheduling/server-board';
 import type { ServerEntry } from '@masticbend/scheduling/server-entry';
@@ -32,6 +34,8 @@
 const DEADLINE_MARGIN_MS = 40;
 /** Time a server that had no room is passed over, in milliseconds. */
 const FULL_PAUSE_MS = 30;
+/** Time a server that is not the one meant is left out: its registration is about to change. */
+const MISDIRECTED_PAUSE_MS = 8_000;
 /** What the requests need from the rest of the entry. */
 export interface RequestsOptions {
   clock: Clock;
@@ -69,6 +73,7 @@
   const open = new Map<string, RequestState>();
   let next = 1;
   const advice = createRetryAdvice(drawRandom);
+  const returns = createReturnEstimate();
   const lines = createRequestLog(clock, options.log);
   const placement = createPlacement({
     ...options,
@@ -90,7 +95,9 @@
     }
     const id = `${incoming.facts.requestId || 'none'}.${next}`;
     next += 1;
-    state = createRequestState(id, incoming, delivery, access, view!, drawRandom);
+    const { deadlineMs = access.route.timeoutMs } = incoming.facts;
+    const returned = returns.recordArrival(access.route.name, deadlineMs);
+    state = createRequestState(id, incoming, delivery, access, view!, drawRandom, returned);
     startDeadline(state);
     open.set(state.id, state);
     const limited = checkLimit(state);
@@ -133,7 +140,7 @@
     const { server } = entry;
     state.tried.add(server.id);
     lines.writePlaced(state, entry, finishMs);
-    board.addRun(entry, work);
+    const thousands = board.addRun(entry, work);
     permits.addRunning(server.id, state.id);
     let reading = true;
     const stopReading = () => {
@@ -169,7 +176,8 @@
         },
         onFirst(elapsedMs) {
           stopReading();
-          if (route.streamed) board.recordFirst(entry, work, elapsedMs);
+          state.firstByteAt ??= clock.now();
+          if (route.streamed) board.recordFirst(entry, thousands, elapsedMs);
         },
         onPace: (intervalMs) => board.recordPace(entry, intervalMs),
         onResult(result) {
@@ -223,7 +231,8 @@
       board.recordFailure(entry);
     } else if (result.kind === 'not-run') {
       state.lastReason = `not run, status ${result.status}`;
-      entry.ejectedUntil = Math.max(entry.ejectedUntil, now + FULL_PAUSE_MS);
+      const pauseMs = isMisdirected(result.status) ? MISDIRECTED_PAUSE_MS : FULL_PAUSE_MS;
+      entry.ejectedUntil = Math.max(entry.ejectedUntil, now + pauseMs);
     } else if (result.kind !== 'delivered') {
       state.lastReason = result.reason;
       if (result.kind === 'broken') {
--- a/packages/gateway/test/answers.test.ts
+++ b/packages/gateway/test/answers.test.ts
@@ -122,6 +122,18 @@
     expect(reply.headers).not.to.have.property('x-masticbend-server-stamp');
   });
 
+  it('leave out a server that is not the one meant, until its registration changes', async () => {
+    const misdirect: Script = ({ socket }) => socket.write(formatAnswer(421, 'other'));
+    await start(misdirect);
+    expect((await deployment.call('/once/a')).status).to.equal(503);
+    await waitFor(100);
+    expect((await deployment.call('/once/a')).status).to.equal(503);
+    expect(countArrivals()).to.equal(1);
+    deployment.backends[0]!.script = answerWell;
+    deployment.writeServer(0, { born: 2 });
+    await waitUntil(async () => (await deployment.call('/once/a')).status === 200);
+  });
+
   it('never pass on an answer that belongs to another request or bears no signature', async () => {
     await start(({ socket }) =>
       socket.write(formatAnswer(200, 'other', ['X-Masticbend-Attempt-Id: b2'])),
--- a/packages/protocol/src/gateway-message.ts
+++ b/packages/protocol/src/gateway-message.ts
@@ -37,12 +37,15 @@
   kind: 'permit-request';
   request: string;
   account: string;
-  tier: number;
+  /** Order of service, from 0. */
+  rank: number;
   tokens: number;
   /** Time the request will hold its permit, in milliseconds. */
   holdMs: number;
   /** Longest useful wait, in milliseconds. */
   waitMs: number;
+  /** Agents that are asked for this request at once. */
+  agents: number;
 }
 
 /** Agent → entry: the request may be sent now. */
@@ -50,9 +53,8 @@
   kind: 'permit';
   request: string;
   held: number;
-  /** Expected wait of a request of the highest and of the lowest tier, in milliseconds. */
-  firstWaitMs: number;
-  lastWaitMs: number;
+  /** Expected wait of a request by rank, in milliseconds; further ranks wait like the last. */
+  waitsMs: readonly number[];
 }
 
 /** Agent → entry: the request would wait too long, or has. */
@@ -62,8 +64,7 @@
   /** Wait that was expected, in milliseconds. */
   waitMs: number;
   held: number;
-  firstWaitMs: number;
-  lastWaitMs: number;
+  waitsMs: readonly number[];
 }
 
 /** Entry → agent: the request ended, or is no longer wanted here. */
@@ -76,6 +77,5 @@
 export interface PermitReportMessage {
   kind: 'permit-report';
   held: number;
-  firstWaitMs: number;
-  lastWaitMs: number;
+  waitsMs: readonly number[];
 }
--- a/packages/protocol/src/shape.ts
+++ b/packages/protocol/src/shape.ts
@@ -158,21 +158,21 @@
   'permit-request': {
     request: isText,
     account: isText,
-    tier: isInteger,
+    rank: isInteger,
     tokens: isAmount,
     holdMs: isAmount,
     waitMs: isAmount,
+    agents: isInteger,
   },
-  permit: { request: isText, held: isInteger, firstWaitMs: isAmount, lastWaitMs: isAmount },
+  permit: { request: isText, held: isInteger, waitsMs: isListOf(isAmount) },
   'permit-refusal': {
     request: isText,
     waitMs: isAmount,
     held: isInteger,
-    firstWaitMs: isAmount,
-    lastWaitMs: isAmount,
+    waitsMs: isListOf(isAmount),
   },
   'permit-release': { request: isText },
-  'permit-report': { held: isInteger, firstWaitMs: isAmount, lastWaitMs: isAmount },
+  'permit-report': { held: isInteger, waitsMs: isListOf(isAmount) },
 };
 
 const KINDS = Object.keys(SHAPES) as MessageKind[];
--- a/packages/scheduling/src/agent-scheduler.ts
+++ b/packages/scheduling/src/agent-scheduler.ts
@@ -93,7 +93,7 @@
 
 /** Returns an idle scheduler. */
 export function createAgentScheduler(options: AgentSchedulerOptions): AgentScheduler {
-  const queue = createQueue(options.tiers);
+  const queue = createQueue<QueuedWork>(options.tiers);
   const progress = createCallProgress(() => options.concurrency);
   const claims = new Map<string, PendingClaim>();
   /** Reservations found too late when their turn came; the next `expire` returns them. */
--- a/packages/scheduling/src/fair-share.ts
+++ b/packages/scheduling/src/fair-share.ts
@@ -10,51 +10,51 @@
 const IDLE_ACCOUNT_LIMIT = 1_024;
 
 /** Waiting work of one tier. */
-export interface FairShare {
+export interface FairShare<Work extends QueuedWork = QueuedWork> {
   size: () => number;
   /** Time of this backend server that the waiting work needs, in milliseconds. */
   getCostMs: () => number;
-  add: (work: QueuedWork) => void;
-  remove: (work: QueuedWork) => void;
+  add: (work: Work) => void;
+  remove: (work: Work) => void;
   /** Returns what goes next. */
-  getFirst: () => QueuedWork | undefined;
+  getFirst: () => Work | undefined;
   /** Returns what can wait longest. */
-  getLast: () => QueuedWork | undefined;
+  getLast: () => Work | undefined;
   /** Removes work that goes to the backend server and charges its account. */
-  take: (work: QueuedWork) => void;
+  take: (work: Work) => void;
   /** Returns the charge of work that did not run. */
-  refund: (work: QueuedWork) => void;
+  refund: (work: Work) => void;
   /** Estimates the time of work that goes before a newcomer of an account, in milliseconds. */
   estimateAheadMs: (account: string, deadlineAt: number) => number;
 }
 
-interface Account {
+interface Account<Work extends QueuedWork> {
   name: string;
   /** Virtual time at which the account's next work starts. */
   tag: number;
   costMs: number;
-  waiting: Heap<QueuedWork>;
+  waiting: Heap<Work>;
 }
 
 /** Returns an empty tier. */
-export function createFairShare(): FairShare {
-  const accounts = new Map<string, Account>();
+export function createFairShare<Work extends QueuedWork>(): FairShare<Work> {
+  const accounts = new Map<string, Account<Work>>();
   const idleTags = new Map<string, number>();
-  const active = createHeap<Account>((left, right) => left.tag - right.tag);
-  const byLatest = createHeap<QueuedWork>((left, right) => right.deadlineAt - left.deadlineAt);
+  const active = createHeap<Account<Work>>((left, right) => left.tag - right.tag);
+  const byLatest = createHeap<Work>((left, right) => right.deadlineAt - left.deadlineAt);
   let virtualTime = 0;
   let costMs = 0;
 
-  function addAccount(name: string): Account {
+  function addAccount(name: string): Account<Work> {
     const tag = Math.max(virtualTime, idleTags.get(name) ?? 0);
     idleTags.delete(name);
-    const account = { name, tag, costMs: 0, waiting: createHeap(compareDeadlines) };
+    const account = { name, tag, costMs: 0, waiting: createHeap<Work>(compareDeadlines) };
     accounts.set(name, account);
     active.add(account);
     return account;
   }
 
-  function removeAccount(account: Account): void {
+  function removeAccount(account: Account<Work>): void {
     active.remove(account);
     accounts.delete(account.name);
     if (account.tag <= virtualTime) return;
@@ -62,7 +62,7 @@
     if (idleTags.size > IDLE_ACCOUNT_LIMIT) idleTags.delete(idleTags.keys().next().value!);
   }
 
-  function remove(work: QueuedWork): Account | undefined {
+  function remove(work: Work): Account<Work> | undefined {
     const account = accounts.get(work.work.account);
     if (!account?.waiting.remove(work)) return undefined;
     byLatest.remove(work);
@@ -116,7 +116,7 @@
   return left.deadlineAt - right.deadlineAt || left.order - right.order;
 }
 
-function isBehind(account: Account, deadlineAt: number): boolean {
+function isBehind<Work extends QueuedWork>(account: Account<Work>, deadlineAt: number): boolean {
   const first = account.waiting.getFirst();
   return first !== undefined && first.deadlineAt <= deadlineAt;
 }
--- a/packages/scheduling/src/permit-queue.ts
+++ b/packages/scheduling/src/permit-queue.ts
@@ -1,16 +1,19 @@
 /**
  * Permits of one backend server: as many as it runs together, and one more so that the next request
- * is on its way when a place comes free. Requests of all entries wait in one order: strict tiers,
- * fair shares between accounts inside a tier. A state machine without clocks or sockets.
+ * is on its way when a place comes free. Requests of all entries wait in one order: strict ranks,
+ * fair shares between accounts inside a rank. A state machine without clocks or sockets.
  */
 import type { PermitRequestMessage } from '@masticbend/protocol/gateway-message';
 import { createQueue } from './queue.js';
 import type { QueuedWork } from './queued-work.js';
+import { RANKS } from './rank.js';
 import { AHEAD, type AgentLoad } from './server-board.js';
-import { createWaitingWork, TIERS } from './waiting-line.js';
+import { createWaitingWork } from './waiting-line.js';
 
 /** How far the mean hold time follows the last one. */
 const HOLD_STEP = 0.1;
+/** Most times that a wait is taken to be longer than the work ahead. */
+const LONGEST_SCALE = 20;
 
 /** An entry's wish to send a request. */
 export type PermitWish = Omit<PermitRequestMessage, 'kind'>;
@@ -41,18 +44,31 @@
 interface HeldPermit {
   owner: string;
   grantedAt: number;
+  /** Time it was expected to hold its place, in milliseconds; unknown for adopted ones. */
+  expectedMs?: number;
+}
+
+/** Work in the queue; its cost is spread over all agents that were asked. */
+interface WaitingWish extends QueuedWork {
+  /** Time it will hold its place here, in milliseconds. */
+  holdMs: number;
+  /** Wait expected of it on its arrival, by the work ahead, in milliseconds. */
+  expectedWaitMs: number;
 }
 
 /** Returns an idle queue; it gives no permit before it knows the number of places. */
 export function createPermitQueue(): PermitQueue {
-  const queue = createQueue(TIERS);
+  const queue = createQueue<WaitingWish>(RANKS);
   const held = new Map<string, HeldPermit>();
   let slots = 0;
   let meanHoldMs: number | undefined;
+  let meanExpectedMs: number | undefined;
+  const waitScales = Array.from({ length: RANKS }, () => 1);
+  let lastRank = 0;
   let order = 0;
 
-  function grant(now: number, work: QueuedWork): PermitAnswer {
-    held.set(work.request, { owner: work.owner, grantedAt: now });
+  function grant(now: number, work: WaitingWish): PermitAnswer {
+    held.set(work.request, { owner: work.owner, grantedAt: now, expectedMs: work.holdMs });
     return { owner: work.owner, request: readRequest(work) };
   }
 
@@ -60,6 +76,7 @@
     const answers: PermitAnswer[] = [];
     for (let first = queue.getFirst(); first && hasRoom(); first = queue.getFirst()) {
       queue.take(first);
+      recordWait(now, first);
       answers.push(grant(now, first));
     }
     return answers;
@@ -69,27 +86,48 @@
     return slots > 0 && held.size < slots + AHEAD;
   }
 
-  function sumBacklogMs(tier: number): number {
+  function sumBacklogMs(rank: number): number {
     return queue
       .sumCostMsByTier()
-      .slice(0, tier + 1)
+      .slice(0, rank + 1)
       .reduce((sum, costMs) => sum + costMs, 0);
   }
 
   /** Work ahead over all places, and the rest of what holds the first place to come free. */
-  function estimateWaitMs(tier: number, holdMs: number): number {
+  function countAheadMs(rank: number, holdMs: number): number {
     const places = Math.max(1, slots);
-    return (sumBacklogMs(tier) + (meanHoldMs ?? holdMs)) / places;
+    return (sumBacklogMs(rank) * getScale() + (meanHoldMs ?? holdMs)) / places;
+  }
+
+  /** What comes later with a higher rank goes first too: seen only in the waits that were had. */
+  function estimateWaitMs(rank: number, holdMs: number): number {
+    return countAheadMs(rank, holdMs) * waitScales[rank]!;
+  }
+
+  function recordWait(now: number, { work, arrivedAt, expectedWaitMs }: WaitingWish): void {
+    const ratio = (now - arrivedAt) / Math.max(1, expectedWaitMs);
+    waitScales[work.tier] = mergeMean(waitScales[work.tier], Math.min(LONGEST_SCALE, ratio));
+  }
+
+  /** Entries expect the times of a middling server; this one is so many times as slow. */
+  function getScale(): number {
+    return meanHoldMs && meanExpectedMs ? meanHoldMs / meanExpectedMs : 1;
+  }
+
+  function listWaits(): number[] {
+    return Array.from({ length: lastRank + 1 }, (_, rank) => Math.round(estimateWaitMs(rank, 0)));
   }
 
   function release(now: number, owner: string, request: string): void {
     const key = formatKey(owner, request);
-    queue.remove(key);
+    const waiting = queue.remove(key);
+    if (waiting) recordWait(now, waiting);
     const permit = held.get(key);
     if (!permit) return;
     held.delete(key);
-    const heldMs = now - permit.grantedAt;
-    meanHoldMs = meanHoldMs === undefined ? heldMs : meanHoldMs + (heldMs - meanHoldMs) * HOLD_STEP;
+    if (permit.expectedMs === undefined) return;
+    meanHoldMs = mergeMean(meanHoldMs, now - permit.grantedAt);
+    meanExpectedMs = mergeMean(meanExpectedMs, permit.expectedMs);
   }
 
   return {
@@ -103,12 +141,14 @@
     },
     request(now, owner, wish) {
       order += 1;
+      lastRank = Math.max(lastRank, wish.rank);
       const work = createWork(owner, wish, now, order);
       if (hasRoom() && queue.size() === 0) return [grant(now, work)];
       const waitMs = estimateWaitMs(work.work.tier, wish.holdMs);
       if (waitMs > wish.waitMs) {
         return [{ owner, request: wish.request, refusedWaitMs: waitMs }];
       }
+      work.expectedWaitMs = countAheadMs(work.work.tier, wish.holdMs);
       queue.add(work);
       return [];
     },
@@ -125,6 +165,7 @@
       const answers: PermitAnswer[] = [];
       for (let late = queue.getMostUrgent(); late && late.startBy <= now;) {
         queue.remove(late.request);
+        recordWait(now, late);
         answers.push({
           owner: late.owner,
           request: readRequest(late),
@@ -135,30 +176,33 @@
       return answers;
     },
     report() {
-      const isFree = hasRoom() && queue.size() === 0;
+      const isFree = held.size < slots && queue.size() === 0;
       return {
         held: held.size,
         waiting: queue.size(),
-        firstWaitMs: isFree ? 0 : estimateWaitMs(0, 0),
-        lastWaitMs: isFree ? 0 : estimateWaitMs(TIERS - 1, 0),
+        waitsMs: isFree ? [0] : listWaits(),
       };
     },
   };
 }
 
-function createWork(owner: string, wish: PermitWish, now: number, order: number): QueuedWork {
-  const { request, account, tier, tokens, holdMs, waitMs } = wish;
+function mergeMean(mean: number | undefined, value: number): number {
+  return mean === undefined ? value : mean + (value - mean) * HOLD_STEP;
+}
+
+function createWork(owner: string, wish: PermitWish, now: number, order: number): WaitingWish {
+  const { request, account, rank, tokens, holdMs, waitMs, agents } = wish;
   const waiting = {
     id: formatKey(owner, request),
     service: '',
     account,
-    tier,
+    rank,
     arrivedAt: now,
     startBy: now + waitMs,
-    costMs: holdMs,
+    costMs: holdMs / agents,
     tokens,
   };
-  return { ...createWaitingWork(waiting, order), owner };
+  return { ...createWaitingWork(waiting, order), owner, holdMs, expectedWaitMs: 0 };
 }
 
 /** Two entries may use the same request id. */
--- a/packages/scheduling/src/queue.ts
+++ b/packages/scheduling/src/queue.ts
@@ -7,39 +7,39 @@
 import type { QueuedWork } from './queued-work.js';
 
 /** Waiting reservations. */
-export interface Queue {
+export interface Queue<Work extends QueuedWork = QueuedWork> {
   size: () => number;
-  add: (work: QueuedWork) => void;
+  add: (work: Work) => void;
   /** Removes a request; undefined when it does not wait here. */
-  remove: (request: string) => QueuedWork | undefined;
+  remove: (request: string) => Work | undefined;
   /** Removes everything of one owner. */
   removeOwner: (owner: string) => void;
   /** Returns what goes next. */
-  getFirst: () => QueuedWork | undefined;
+  getFirst: () => Work | undefined;
   /** Removes work that goes to the backend server and charges its account. */
-  take: (work: QueuedWork) => void;
-  refund: (work: QueuedWork) => void;
+  take: (work: Work) => void;
+  refund: (work: Work) => void;
   /** Returns the work of the lowest tier below `tier` that can wait longest. */
-  findDisplaceable: (tier: number) => QueuedWork | undefined;
+  findDisplaceable: (tier: number) => Work | undefined;
   /** Returns the work whose last moment to start is nearest. */
-  getMostUrgent: () => QueuedWork | undefined;
+  getMostUrgent: () => Work | undefined;
   /** Waiting reservations and their time at the backend server, by tier. */
   countByTier: () => number[];
   sumCostMsByTier: () => number[];
   /** Estimates the waiting work that goes before a newcomer, in milliseconds. */
   estimateAheadMs: (tier: number, account: string, deadlineAt: number) => number;
   /** Removes and returns everything. */
-  clear: () => QueuedWork[];
+  clear: () => Work[];
 }
 
 /** Returns an empty queue. */
-export function createQueue(tierCount: number): Queue {
-  const tiers = Array.from({ length: tierCount }, createFairShare);
-  const requests = new Map<string, QueuedWork>();
-  const owners = new Map<string, Set<QueuedWork>>();
-  const byStart = createHeap<QueuedWork>((left, right) => left.startBy - right.startBy);
+export function createQueue<Work extends QueuedWork>(tierCount: number): Queue<Work> {
+  const tiers = Array.from({ length: tierCount }, () => createFairShare<Work>());
+  const requests = new Map<string, Work>();
+  const owners = new Map<string, Set<Work>>();
+  const byStart = createHeap<Work>((left, right) => left.startBy - right.startBy);
 
-  function removeFromIndexes(work: QueuedWork): void {
+  function removeFromIndexes(work: Work): void {
     requests.delete(work.request);
     byStart.remove(work);
     const owned = owners.get(work.owner);
@@ -47,7 +47,7 @@
     if (owned?.size === 0) owners.delete(work.owner);
   }
 
-  function remove(request: string): QueuedWork | undefined {
+  function remove(request: string): Work | undefined {
     const work = requests.get(request);
     if (!work) return undefined;
     removeFromIndexes(work);
@@ -61,7 +61,7 @@
       requests.set(work.request, work);
       byStart.add(work);
       tiers[work.work.tier]!.add(work);
-      const owned = owners.get(work.owner) ?? new Set();
+      const owned = owners.get(work.owner) ?? new Set<Work>();
       owners.set(work.owner, owned.add(work));
     },
     remove,
--- a/packages/scheduling/src/server-board.ts
+++ b/packages/scheduling/src/server-board.ts
@@ -33,9 +33,8 @@
 /** What the agent beside a server says of it. */
 export interface AgentLoad {
   held: number;
-  /** Expected wait of a request of the highest and of the lowest tier, in milliseconds. */
-  firstWaitMs: number;
-  lastWaitMs: number;
+  /** Expected wait of a request by rank, in milliseconds; further ranks wait like the last. */
+  waitsMs: readonly number[];
 }
 
 /** Returns the load of a server whose agent gives permits; undefined where there is none. */
@@ -45,19 +44,40 @@
 export interface PlaceQuery {
   service: string;
   work: PlacedWork;
-  tier: number;
+  /** Order of service where it can be on time, and where it cannot. */
+  rank: number;
+  lateRank: number;
   /** Servers left out. */
   excluded: ReadonlySet<string>;
-  /** Longest useful wait for a place, and time left to the whole answer, in milliseconds. */
-  waitMs: number;
+  /** Time left to the first event of an answer that is on time, and to the whole answer. */
+  onTimeMs: number;
   leftMs: number;
+  /** Longest wait for a place at a server where it will be late. */
+  lateWaitMs: number;
   findLoad?: FindLoad;
 }
 
+/** A server that may take a request. */
+interface Candidate {
+  entry: ServerEntry;
+  load?: AgentLoad;
+  /** The first event is expected on time. */
+  onTime: boolean;
+  /** The whole answer is expected in the time left. */
+  inTime: boolean;
+  /** A place is free now. */
+  free: boolean;
+  firstMs: number;
+  finishMs: number;
+  cost: number;
+}
+
+/** A server to be used, or asked for where `load` is present. */
+export type ServerChoice = { kind: 'server' } & Candidate;
+
 /** A choice of server, or why there is none. */
 export type Choice =
-  /** `load` is present when the server's agent has to be asked. */
-  | { kind: 'server'; entry: ServerEntry; finishMs: number; load?: AgentLoad }
+  | ServerChoice
   /** All places are taken; `waitMs` is the least wait that an agent expects, if one was known. */
   | { kind: 'full'; waitMs?: number }
   | { kind: 'none' };
@@ -67,9 +87,11 @@
   /** Brings the board in line with the list; entries of the same incarnation keep their state. */
   setServers: (servers: readonly BackendServer[]) => void;
   choose: (now: number, query: PlaceQuery) => Choice;
-  addRun: (entry: ServerEntry, work: PlacedWork) => void;
+  /** Returns the thousands of prompt tokens that the server reads up to the first event. */
+  addRun: (entry: ServerEntry, work: PlacedWork) => number;
   removeRun: (entry: ServerEntry) => void;
-  recordFirst: (entry: ServerEntry, work: PlacedWork, elapsedMs: number) => void;
+  /** Takes in the time to a first event, and what was to be read before it when it was sent. */
+  recordFirst: (entry: ServerEntry, thousands: number, elapsedMs: number) => void;
   dropReading: (entry: ServerEntry, work: PlacedWork) => void;
   recordPace: (entry: ServerEntry, intervalMs: number) => void;
   recordWork: (entry: ServerEntry, elapsedMs: number) => void;
@@ -140,17 +162,22 @@
         if (server.service === service && isUsable(now, entry) && !excluded.has(server.id)) {
           usable += 1;
           const load = findLoad(server.id);
-          if (load) leastWaitMs = Math.min(leastWaitMs ?? Infinity, chooseWait(load, query.tier));
+          const waitMs = load && chooseWait(load, query.lateRank);
+          leastWaitMs = Math.min(leastWaitMs ?? Infinity, waitMs ?? Infinity);
           const candidate = describeCandidate(entry, query, load, dataCentre);
           if (candidate && (!best || isBetter(candidate, best))) best = candidate;
         }
       }
-      if (!best) return usable > 0 ? { kind: 'full', waitMs: leastWaitMs } : { kind: 'none' };
-      return { kind: 'server', entry: best.entry, finishMs: best.finishMs, load: best.load };
+      if (!best)
+        return usable > 0
+          ? { kind: 'full', waitMs: leastWaitMs === Infinity ? undefined : leastWaitMs }
+          : { kind: 'none' };
+      return { kind: 'server', ...best };
     },
     addRun(entry, work) {
       entry.running += 1;
       entry.readingTokens += work.promptTokens;
+      return entry.readingTokens / 1_000 + 1;
     },
     removeRun(entry) {
       entry.running -= 1;
@@ -158,8 +185,7 @@
     dropReading(entry, work) {
       entry.readingTokens = Math.max(0, entry.readingTokens - work.promptTokens);
     },
-    recordFirst(entry, work, elapsedMs) {
-      const thousands = (entry.readingTokens + work.promptTokens) / 1_000 + 1;
+    recordFirst(entry, thousands, elapsedMs) {
       entry.readingMs = mergeEstimate(entry.readingMs, elapsedMs / thousands, READING_STEP);
     },
     recordPace(entry, intervalMs) {
@@ -216,45 +242,38 @@
   return undefined;
 }
 
-/** A server that may take a request. */
-interface Candidate {
-  entry: ServerEntry;
-  load?: AgentLoad;
-  /** The whole answer is expected in the time left. */
-  inTime: boolean;
-  /** A place is free now. */
-  free: boolean;
-  finishMs: number;
-  cost: number;
-}
-
 function describeCandidate(
   entry: ServerEntry,
-  { work, tier, waitMs, leftMs }: PlaceQuery,
+  { work, rank, lateRank, onTimeMs, lateWaitMs, leftMs }: PlaceQuery,
   load: AgentLoad | undefined,
   dataCentre: string,
 ): Candidate | undefined {
   const { slots } = entry.server;
   const held = load?.held ?? countHeld(entry);
-  const free = held < slots + AHEAD;
-  const expectedWaitMs = free || !load ? 0 : chooseWait(load, tier);
-  if (!load && !free) return undefined;
-  if (expectedWaitMs > waitMs) return undefined;
+  if (!load && held >= slots + AHEAD) return undefined;
+  const firstMs = estimateFirstMs(entry, work);
+  const waitMs = load ? chooseWait(load, rank) : 0;
+  const onTime = waitMs + firstMs <= onTimeMs;
+  const expectedWaitMs = onTime || !load ? waitMs : chooseWait(load, lateRank);
+  if (!onTime && expectedWaitMs > lateWaitMs) return undefined;
   const finishMs = estimateFinishMs(entry, work, held) + expectedWaitMs;
+  const free = expectedWaitMs === 0;
   const distance = entry.server.dataCentre === dataCentre ? 0 : DISTANCE_PART;
   const cost = finishMs * (1 + distance) + entry.failureShare * FAILURE_COST_MS;
-  return { entry, load, inTime: finishMs <= leftMs * IN_TIME_PART, free, finishMs, cost };
+  const inTime = finishMs <= leftMs * IN_TIME_PART;
+  return { entry, load, onTime, inTime, free, firstMs, finishMs, cost };
 }
 
-/** Free servers that finish in time go first, then those in time after a wait, then the others. */
+/** Whole answers first, then those on time, then those without a wait, then the quickest. */
 function isBetter(candidate: Candidate, best: Candidate): boolean {
   if (candidate.inTime !== best.inTime) return candidate.inTime;
+  if (candidate.onTime !== best.onTime) return candidate.onTime;
   if (candidate.free !== best.free) return candidate.free;
   return candidate.cost < best.cost;
 }
 
-function chooseWait({ firstWaitMs, lastWaitMs }: AgentLoad, tier: number): number {
-  return tier === 0 ? firstWaitMs : lastWaitMs;
+function chooseWait({ waitsMs }: AgentLoad, rank: number): number {
+  return waitsMs[Math.min(rank, waitsMs.length - 1)] ?? 0;
 }
 
 function mergeEstimate(known: number | undefined, observed: number, step: number): number {
--- a/packages/scheduling/src/waiting-line.ts
+++ b/packages/scheduling/src/waiting-line.ts
@@ -1,14 +1,13 @@
 /**
- * Requests of one instance that wait for a place at a backend server: strict tiers, fair shares
- * between accounts inside a tier, and the moment after which each can no longer be in time. A
+ * Requests of one instance that wait for a place at a backend server: strict ranks, fair shares
+ * between accounts inside a rank, and the moment after which each can no longer be in time. A
  * request that would miss it by the work ahead is refused on arrival, when that is still cheap.
  */
 import type { WorkDescription } from '@masticbend/protocol/message';
 import { createQueue, type Queue } from './queue.js';
 import type { QueuedWork } from './queued-work.js';
+import { RANKS } from './rank.js';
 
-/** Tiers that are told apart; lower ones share the last. */
-export const TIERS = 8;
 /** Most requests waiting for one service. */
 const LENGTH_LIMIT = 2_000;
 
@@ -17,7 +16,7 @@
   id: string;
   service: string;
   account: string;
-  tier: number;
+  rank: number;
   arrivedAt: number;
   /** Moment after which a start is too late. */
   startBy: number;
@@ -37,8 +36,8 @@
   remove: (service: string, id: string) => boolean;
   /** Removes and returns requests whose moment has passed. */
   expire: (now: number) => string[];
-  /** Estimates the time a newcomer of a tier would wait, in milliseconds. */
-  estimateWaitMs: (service: string, tier: number, places: number) => number;
+  /** Estimates the time a newcomer of a rank would wait, in milliseconds. */
+  estimateWaitMs: (service: string, rank: number, places: number) => number;
   count: (service: string) => number;
   listServices: () => string[];
 }
@@ -51,7 +50,7 @@
   function findQueue(service: string): Queue {
     let queue = queues.get(service);
     if (!queue) {
-      queue = createQueue(TIERS);
+      queue = createQueue<QueuedWork>(RANKS);
       queues.set(service, queue);
     }
     return queue;
@@ -62,21 +61,21 @@
     return first?.request === id ? first : undefined;
   }
 
-  function estimateWaitMs(service: string, tier: number, places: number): number {
+  function estimateWaitMs(service: string, rank: number, places: number): number {
     const queue = queues.get(service);
     if (!queue) return 0;
     const aheadMs = queue
       .sumCostMsByTier()
-      .slice(0, selectTier(tier) + 1)
+      .slice(0, rank + 1)
       .reduce((sum, costMs) => sum + costMs, 0);
     return aheadMs / Math.max(1, places);
   }
 
   return {
     add(now, request, places) {
-      const { service, tier, startBy } = request;
+      const { service, rank, startBy } = request;
       const queue = findQueue(service);
-      const waitMs = estimateWaitMs(service, tier, places);
+      const waitMs = estimateWaitMs(service, rank, places);
       if (now + waitMs > startBy || queue.size() >= LENGTH_LIMIT) return waitMs;
       order += 1;
       queue.add(createWaitingWork(request, order));
@@ -111,7 +110,7 @@
   const { id, service, account, arrivedAt, startBy, costMs, tokens } = request;
   const work: WorkDescription = {
     account,
-    tier: selectTier(request.tier),
+    tier: request.rank,
     target: service,
     work: service,
     promptTokens: tokens,
@@ -134,7 +133,3 @@
     startBy,
   };
 }
-
-function selectTier(tier: number): number {
-  return Math.min(TIERS - 1, Math.max(0, Math.floor(tier)));
-}
--- a/packages/scheduling/test/permit-queue.test.ts
+++ b/packages/scheduling/test/permit-queue.test.ts
@@ -18,8 +18,8 @@
   return queue;
 }
 
-function createWish(request: string, tier = 0, waitMs = WAIT_MS, account = 'a') {
-  return { request, account, tier, tokens: 100, holdMs: HOLD_MS, waitMs };
+function createWish(request: string, rank = 0, waitMs = WAIT_MS, account = 'a') {
+  return { request, account, rank, tokens: 100, holdMs: HOLD_MS, waitMs, agents: 1 };
 }
 
 function listGranted(answers: readonly PermitAnswer[]): string[] {
@@ -84,6 +84,48 @@
     expect(listGranted(queue.release(310, 'e0', 'held-0'))).to.deep.equal([]);
   });
 
+  it('counts only its part of a wish that several agents were asked for', () => {
+    const queue = createReadyQueue();
+    reserveAll(queue);
+    queue.request(0, 'e1', { ...createWish('shared'), agents: 4 });
+    const [answer] = queue.request(0, 'e1', createWish('hurried', 0, 50));
+    expect(answer?.refusedWaitMs).to.equal((HOLD_MS / 4 + HOLD_MS) / SLOTS);
+  });
+
+  it('expects waits by its own times where entries expect those of a middling server', () => {
+    const queue = createReadyQueue();
+    for (let round = 0; round < 200; round += 1) {
+      const now = round * HOLD_MS * 3;
+      queue.request(now, 'e0', createWish('one'));
+      queue.release(now + HOLD_MS * 3, 'e0', 'one');
+    }
+    const now = 200 * HOLD_MS * 3;
+    for (let index = 0; index <= SLOTS; index += 1) {
+      queue.request(now, 'e0', createWish(`held-${index}`));
+    }
+    queue.request(now, 'e1', createWish('next'));
+    const [answer] = queue.request(now, 'e1', createWish('hurried', 0, 50));
+    expect(answer?.refusedWaitMs).to.be.closeTo((HOLD_MS * 6) / SLOTS, 1);
+  });
+
+  it('refuses a low rank at once when those of its rank were always overtaken', () => {
+    const queue = createReadyQueue();
+    reserveAll(queue);
+    let now = 0;
+    let waited = 0;
+    for (let round = 0; round < 60; round += 1) {
+      const answers = queue.request(now, 'e1', createWish(`late-${round}`, 8, 1_500));
+      if (answers.length === 0) waited += 1;
+      queue.request(now, 'e2', createWish(`first-${round}`, 0));
+      now += 1_500;
+      queue.expire(now);
+      queue.release(now, 'e0', `held-${round}`);
+      queue.release(now, 'e2', `first-${round - 5}`);
+    }
+    expect(waited).to.be.below(20);
+    expect(queue.request(now, 'e1', createWish('on-time', 0))).to.deep.equal([]);
+  });
+
   it('frees the places of an entry that is gone, and takes in what one already runs', () => {
     const queue = createReadyQueue();
     reserveAll(queue);
--- a/packages/scheduling/test/server-board.test.ts
+++ b/packages/scheduling/test/server-board.test.ts
@@ -40,9 +40,11 @@
   return {
     service: 'engine',
     work: { promptTokens: 1_000, events: 50 },
-    tier: 0,
+    rank: 0,
+    lateRank: 1,
     excluded: new Set(),
-    waitMs: 300,
+    onTimeMs: 300,
+    lateWaitMs: 300,
     leftMs: LEFT_MS,
     ...changes,
   };
@@ -55,10 +57,10 @@
 
 function createLoads(loads: Record<string, Partial<AgentLoad>>) {
   return (id: string): AgentLoad | undefined =>
-    loads[id] && { held: 0, firstWaitMs: 0, lastWaitMs: 0, ...loads[id] };
+    loads[id] && { held: 0, waitsMs: [0], ...loads[id] };
 }
 
-const FULL = { held: SLOTS + 1, firstWaitMs: 100, lastWaitMs: 900 };
+const FULL = { held: SLOTS + 1, waitsMs: [100, 900] };
 
 describe('server board', () => {
   it('chooses the server that finishes first', () => {
@@ -76,15 +78,37 @@
     expect(chooseId(createBoard(), createQuery({ findLoad, work }))).to.equal('fast');
   });
 
-  it('says full, with the least wait, where every wait is too long for the tier', () => {
-    const findLoad = createLoads({ fast: FULL, slow: { ...FULL, lastWaitMs: 700 } });
-    expect(createBoard().choose(0, createQuery({ findLoad, tier: 1 }))).to.deep.equal({
+  it('says full, with the least wait, where every wait is too long even for a late answer', () => {
+    const findLoad = createLoads({ fast: FULL, slow: { ...FULL, waitsMs: [100, 700] } });
+    expect(createBoard().choose(0, createQuery({ findLoad, onTimeMs: -1 }))).to.deep.equal({
       kind: 'full',
       waitMs: 700,
     });
     expect(chooseId(createBoard(), createQuery({ findLoad }))).to.equal('fast');
   });
 
+  it('waits where the first event is on time rather than use a free place where it is late', () => {
+    const board = createBoard();
+    board.recordFirst(board.find('slow')!, 2, 1_000);
+    const findLoad = createLoads({ fast: FULL, slow: {} });
+    expect(chooseId(board, createQuery({ findLoad }))).to.equal('fast');
+    const late = createQuery({ findLoad, onTimeMs: -1, lateWaitMs: 2_000 });
+    expect(chooseId(board, late)).to.equal('slow');
+  });
+
+  it('learns the reading time by what was in line when a request was sent', () => {
+    const board = createBoard();
+    const fast = board.find('fast')!;
+    const work = { promptTokens: 1_000, events: 1 };
+    const first = board.addRun(fast, work);
+    const second = board.addRun(fast, work);
+    board.dropReading(fast, work);
+    board.recordFirst(fast, first, 100);
+    board.dropReading(fast, work);
+    board.recordFirst(fast, second, 150);
+    expect(fast.readingMs).to.be.closeTo(50, 1e-9);
+  });
+
   it('counts its own and its peers’ requests where no agent does', () => {
     const board = createBoard();
     board.setPeerLoad('peer', new Map([['fast', SLOTS]]));
