Metrics of waits, first bytes, attempts, calls to the store and ages of beliefs

Cause: an operator saw counts of requests by tier alone; calls to the store, what servers answered and how old the beliefs are had no figures.

--- a/packages/gateway/src/administration.ts
+++ b/packages/gateway/src/administration.ts
@@ -17,6 +17,8 @@
   const log = kernel.find('log');
   const view = kernel.find('view');
   const metrics = kernel.find('metrics');
+  const board = kernel.find('board');
+  const clock = kernel.find('clock');
   const servers: Server[] = [];
   let wasReady = false;
 
@@ -25,7 +27,7 @@
       !state.stopping &&
       view.getView() !== undefined &&
       view.isRecent() &&
-      kernel.find('board').listServers().length > 0;
+      board.listServers().length > 0;
     if (ready !== wasReady) {
       wasReady = ready;
       log.info(LogEvent.ReadinessChanged, { ready, stopping: state.stopping });
@@ -39,6 +41,11 @@
       metrics.registerGauge(Metric.ConfigurationRevision, () =>
         Number(view.getView()?.configuration.version ?? 0),
       );
+      metrics.registerGauge(Metric.ConfigurationAge, view.getAgeMs);
+      metrics.registerGauge(Metric.ServersAge, kernel.find('servers').getAgeMs);
+      metrics.registerGauge(Metric.OtherEntries, () => kernel.find('members').listOthers().length);
+      metrics.registerGauge(Metric.ListedServers, () => board.listServers().length);
+      metrics.registerGauge(Metric.UsableServers, () => board.countUsable(clock.now()));
       const readiness = createServer((request, response) => {
         const status = request.url?.startsWith(READINESS_PATH) && isReady() ? 200 : 503;
         response.writeHead(status, { 'content-length': '0' }).end();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,6 +21,7 @@
 import { createAdministration } from './administration.js';
 import { createBackendClient, type BackendClient } from './backend-client.js';
 import { createIngress, type Ingress } from './ingress.js';
+import { createMeasuredStore } from './measured-store.js';
 import { createMembers, type Members } from './members.js';
 import { createPeerMesh, type PeerMesh } from './peer-mesh.js';
 import { createPermitClient, type PermitClient } from './permit-client.js';
@@ -60,7 +61,7 @@
   kernel.provide('clock', () => clock);
   kernel.provide('log', () => log);
   kernel.provide('metrics', () => createMetrics(clock));
-  kernel.provide('store', () => createStoreService(settings.storeAddress));
+  kernel.provide('store', () => createStoreService(kernel, settings.storeAddress));
   kernel.provide('client', createClientService);
   kernel.provide('board', () => createServerBoard(settings.dataCentre));
   kernel.provide('limits', createSharedLimits);
@@ -111,8 +112,9 @@
   } while (requests.countOpen() > 0 && clock.now() < stopAt);
 }
 
-function createStoreService(address: string): Store & Lifecycle {
-  const store = createStore(address);
+function createStoreService(kernel: Kernel<GatewayServices>, address: string): Store & Lifecycle {
+  const clock = kernel.find('clock');
+  const store = createMeasuredStore(createStore(address), clock, kernel.find('metrics'));
   return { ...store, stop: store.close };
 }
 
@@ -144,9 +146,15 @@
     getView: view.getView,
     areKeysFresh: view.areKeysFresh,
     countInstances: () => kernel.find('members').listOthers().length + 1,
-    recordOutcome({ tier, outcome, totalMs }) {
-      metrics.addCount(Metric.RequestsTotal, { tier, outcome }, 1);
+    recordAttempt: (server, result) =>
+      metrics.addCount(Metric.AttemptsTotal, { server, result }, 1),
+    recordOutcome({ tier, account, outcome, waitMs, firstByteMs, totalMs }) {
+      metrics.addCount(Metric.RequestsTotal, { tier, account, outcome }, 1);
       metrics.recordDuration(Metric.RequestDuration, { tier }, totalMs);
+      if (waitMs !== undefined) metrics.recordDuration(Metric.WaitDuration, { tier }, waitMs);
+      if (firstByteMs !== undefined) {
+        metrics.recordDuration(Metric.FirstByteDuration, { tier }, firstByteMs);
+      }
     },
   });
 }
@@ -200,6 +208,7 @@
   const members = kernel.find('members');
   const permits = kernel.find('permits');
   let share = 0;
+  kernel.find('metrics').registerGauge(Metric.LimitShare, () => share);
 
   /** The part of all entries that this one hears, itself included. */
   function updateShare(heardPeers: number): void {
--- /dev/null
+++ b/packages/gateway/src/measured-store.ts
@@ -0,0 +1,26 @@
+/** Counts and times the calls that an entry makes to the store. */
+import type { Clock } from '@masticbend/kernel/clock';
+import { Metric, type Metrics } from '@masticbend/kernel/metrics';
+import type { Store } from '@masticbend/platform/store';
+
+/** Returns the same store, with each call recorded by its name and the kind of its result. */
+export function createMeasuredStore(store: Store, clock: Clock, metrics: Metrics): Store {
+  async function measure<Result extends { kind: string }>(
+    call: string,
+    result: Promise<Result>,
+  ): Promise<Result> {
+    const startedAt = clock.now();
+    const { kind } = await result;
+    metrics.addCount(Metric.StoreCallsTotal, { call, result: kind }, 1);
+    metrics.recordDuration(Metric.StoreCallDuration, { call }, clock.now() - startedAt);
+    return result;
+  }
+
+  return {
+    readRows: (table) => measure('rows', store.readRows(table)),
+    readChanges: (table, after, waitMs) =>
+      measure('changes', store.readChanges(table, after, waitMs)),
+    writeRow: (table, key, value) => measure('write', store.writeRow(table, key, value)),
+    close: store.close,
+  };
+}
--- a/packages/gateway/src/request-state.ts
+++ b/packages/gateway/src/request-state.ts
@@ -25,10 +25,12 @@
 
 /** One answered request, for metrics. */
 export interface RequestOutcome {
-  route: string;
   tier: number;
   account: string;
   outcome: string;
+  /** Time to the first sending and to the first byte; undefined without one. */
+  waitMs: number | undefined;
+  firstByteMs: number | undefined;
   totalMs: number;
 }
 
@@ -55,7 +57,8 @@
   refusedWaitMs: number | undefined;
   /** Servers that it was sent to. */
   sent: number;
-  /** When the first byte of an answer came; undefined until then. */
+  /** When it was first sent, and when the first byte of an answer came; undefined until then. */
+  sentAt: number | undefined;
   firstByteAt: number | undefined;
   /** Attempts that may have run. */
   mayHaveRun: number;
@@ -108,6 +111,7 @@
     refusedWaitMs: undefined,
     sent: 0,
     mayHaveRun: 0,
+    sentAt: undefined,
     firstByteAt: undefined,
     lastReason: '',
     release: () => {},
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -52,6 +52,8 @@
   /** Instances that share the limits. */
   countInstances: () => number;
   recordOutcome: (outcome: RequestOutcome) => void;
+  /** An attempt at a backend server ended; `result` is the kind of its end. */
+  recordAttempt: (server: string, result: string) => void;
 }
 
 /** Requests of one entry. */
@@ -173,6 +175,7 @@
       {
         onSent() {
           state.sent += 1;
+          state.sentAt ??= clock.now();
         },
         onFirst(elapsedMs) {
           stopReading();
@@ -183,6 +186,7 @@
         onResult(result) {
           state.release();
           state.attempt = undefined;
+          options.recordAttempt(server.id, result.kind);
           if (!route.streamed && result.kind === 'answer') {
             board.recordWork(entry, clock.now() - startedAt);
           }
@@ -299,14 +303,16 @@
     state.stopDeadline();
     placement.withdraw(state);
     open.delete(state.id);
-    const totalMs = clock.now() - state.incoming.arrivedAt;
+    const { incoming, sentAt, firstByteAt } = state;
+    const getTimeTo = (moment: number) => moment - incoming.arrivedAt;
     if (logged) lines.writeFinished(state, outcome);
     options.recordOutcome({
-      route: state.route.name,
       tier: state.tier,
       account: state.account?.name ?? '',
       outcome,
-      totalMs,
+      waitMs: sentAt && getTimeTo(sentAt),
+      firstByteMs: firstByteAt && getTimeTo(firstByteAt),
+      totalMs: getTimeTo(clock.now()),
     });
   }
 
--- a/packages/gateway/src/table-feed.ts
+++ b/packages/gateway/src/table-feed.ts
@@ -29,6 +29,8 @@
 export interface TableFeed {
   /** Elapsed time at which the last answered read was sent; undefined before the first. */
   getConfirmedAt: () => number | undefined;
+  /** Time since then, in milliseconds; -1 before the first. */
+  getAgeMs: () => number;
   getRevision: () => number;
   start: () => void;
   stop: () => void;
@@ -112,6 +114,7 @@
 
   return {
     getConfirmedAt: () => confirmedAt,
+    getAgeMs: () => getAge() ?? -1,
     getRevision: () => revision ?? 0,
     start() {
       run().catch((error: Error) => {
--- a/packages/gateway/src/view-service.ts
+++ b/packages/gateway/src/view-service.ts
@@ -86,6 +86,7 @@
     stop: feed.stop,
     getView: () => view,
     areKeysFresh: checkKeys,
+    getAgeMs: feed.getAgeMs,
     isRecent: () => getAgeMs() < keyFreshnessMs * READINESS_PART,
     dump: () => ({ version: view?.configuration.version, revision: feed.getRevision() }),
   };
--- a/packages/kernel/src/metrics.ts
+++ b/packages/kernel/src/metrics.ts
@@ -7,11 +7,11 @@
 
 /** Names of the metrics a process may show. */
 export const Metric = {
-  /** Requests answered, by tier and outcome. */
+  /** Requests answered, by tier, account and outcome. */
   RequestsTotal: 'masticbend_requests_total',
   /** Time from acceptance to the whole answer, by tier. */
   RequestDuration: 'masticbend_request_duration_ms',
-  /** Time from the backend call to its first byte, by tier. */
+  /** Time from the arrival at an entry, or the call of an agent, to the first byte, by tier. */
   FirstByteDuration: 'masticbend_first_byte_duration_ms',
   /** Tokens read and generated at backend servers, by tier and kind. */
   TokensTotal: 'masticbend_tokens_total',
@@ -22,6 +22,23 @@
   BackendReady: 'masticbend_backend_ready',
   /** Changes of call records that wait for the table service. */
   PendingRecords: 'masticbend_pending_records',
+  /** Time from arrival to the sending of the first attempt, by tier. */
+  WaitDuration: 'masticbend_wait_duration_ms',
+  /** Attempts at backend servers, by server and result. */
+  AttemptsTotal: 'masticbend_attempts_total',
+  /** Calls to the store by call and result, and their time, waits for changes included. */
+  StoreCallsTotal: 'masticbend_store_calls_total',
+  StoreCallDuration: 'masticbend_store_call_duration_ms',
+  /** Time since the sending of the last answered read of each table; -1 before the first. */
+  ConfigurationAge: 'masticbend_configuration_age_ms',
+  ServersAge: 'masticbend_servers_age_ms',
+  /** Part of the accounts' limits that this entry may use, from 0 to 1. */
+  LimitShare: 'masticbend_limit_share',
+  /** Other entries with a lease. */
+  OtherEntries: 'masticbend_other_entries',
+  /** Backend servers that are registered, and those that may be used now. */
+  ListedServers: 'masticbend_listed_servers',
+  UsableServers: 'masticbend_usable_servers',
   OpenRequests: 'masticbend_open_requests',
   ConnectedAgents: 'masticbend_connected_agents',
   ConnectedEntries: 'masticbend_connected_entries',
--- a/packages/scheduling/src/server-board.ts
+++ b/packages/scheduling/src/server-board.ts
@@ -113,6 +113,8 @@
   /** Places of a service's servers that may be used. */
   countPlaces: (now: number, service: string) => number;
   listServers: () => readonly ServerEntry[];
+  /** Servers that may be used. */
+  countUsable: (now: number) => number;
 }
 
 /** Returns an empty board; `dataCentre` is the instance's own. */
@@ -168,10 +170,11 @@
           if (candidate && (!best || isBetter(candidate, best))) best = candidate;
         }
       }
-      if (!best)
-        return usable > 0
+      if (!best) {
+ return usable > 0
           ? { kind: 'full', waitMs: leastWaitMs === Infinity ? undefined : leastWaitMs }
           : { kind: 'none' };
+}
       return { kind: 'server', ...best };
     },
     addRun(entry, work) {
@@ -235,6 +238,7 @@
       return listed.reduce((sum, { server }) => sum + server.slots, 0);
     },
     listServers: () => [...entries.values()],
+    countUsable: (now) => [...entries.values()].filter((entry) => isUsable(now, entry)).length,
   };
 }
 
