What is late by its size alone keeps its place; late ones wait 15% of their time limit

A prompt that takes longer to read than the objective cannot be on time even on an idle engine, so it was put behind all that can and then refused. Change: such a request keeps the rank of a first arrival and waits as long as a late one. The repeat rules are a module of their own.

--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -16,7 +16,12 @@
 import { OUTAGE_RETRY_MS } from './access.js';
 import type { PermitClient, PermitEvents } from './permit-client.js';
 import type { RequestState } from './request-state.js';
-import { computeLateWaitMs, computeOnTimeMs, describeWaiting } from './request-timing.js';
+import {
+  computeLateWaitMs,
+  computeObjectiveMs,
+  computeOnTimeMs,
+  describeWaiting,
+} from './request-timing.js';
 
 /** Interval of the check for requests that waited too long, in milliseconds. */
 const EXPIRY_CHECK_MS = 10;
@@ -87,6 +92,7 @@
       rank: computeRank(tier, false),
       lateRank: computeRank(tier, true),
       excluded: new Set([...tried, ...asked]),
+      objectiveMs: computeObjectiveMs(state),
       onTimeMs: computeOnTimeMs(now, state),
       lateWaitMs: computeLateWaitMs(now, state),
       leftMs: deadlineAt - now,
@@ -108,7 +114,9 @@
     const firstMs = board.estimateFirstMs(service, work);
     const expectedMs = line.estimateWaitMs(service, computeRank(tier, false), places) + firstMs;
     const onTime = expectedMs <= computeOnTimeMs(now, state);
-    const waitMs = line.add(now, describeWaiting(now, board, state, { onTime, firstMs }), places);
+    const rank = computeRank(tier, !onTime && firstMs <= computeObjectiveMs(state));
+    const waiting = describeWaiting(now, board, state, { onTime, rank, firstMs });
+    const waitMs = line.add(now, waiting, places);
     if (waitMs === undefined) {
       scheduleExpiry();
       return;
--- a/packages/gateway/src/request-timing.ts
+++ b/packages/gateway/src/request-timing.ts
@@ -1,5 +1,4 @@
 /** How long a request may wait for a place, and how long its server may be silent. */
-import { computeRank } from '@masticbend/scheduling/rank';
 import type { ServerBoard } from '@masticbend/scheduling/server-board';
 import type { WaitingRequest } from '@masticbend/scheduling/waiting-line';
 import { Repeat } from '@masticbend/settings/routing';
@@ -8,7 +7,7 @@
 /** Part of the objective in which the first byte is planned. */
 const ON_TIME_PART = 0.85;
 /** Wait of a request whose answer will be late in any case: a part of its time limit. */
-const LATE_WAIT_PART = 0.1;
+const LATE_WAIT_PART = 0.15;
 /** Wait of a repeat, as a part of the objective. */
 const REPEAT_WAIT_PART = 2;
 /** Silence after which a repeatable request goes elsewhere: parts of objective and pause. */
@@ -20,6 +19,8 @@
 export interface ExpectedPlace {
   /** The first byte is expected on time. */
   onTime: boolean;
+  /** Order of service there. */
+  rank: number;
   /** Time from the start to the first byte, in milliseconds. */
   firstMs: number;
 }
@@ -29,7 +30,7 @@
   now: number,
   board: Pick<ServerBoard, 'estimateHoldMs'>,
   state: RequestState,
-  { onTime, firstMs }: ExpectedPlace,
+  { onTime, rank, firstMs }: ExpectedPlace,
 ): WaitingRequest {
   const { id, service, account, work, incoming } = state;
   const waitMs = onTime ? computeOnTimeMs(now, state) - firstMs : computeLateWaitMs(now, state);
@@ -37,7 +38,7 @@
     id,
     service,
     account: account?.name ?? '',
-    rank: computeRank(state.tier, !onTime),
+    rank,
     arrivedAt: incoming.arrivedAt,
     startBy: now + Math.max(0, waitMs),
     costMs: board.estimateHoldMs(service, work),
@@ -45,10 +46,15 @@
   };
 }
 
+/** Returns the time from arrival in which a first byte is on time; Infinity for the returned. */
+export function computeObjectiveMs({ route, returned }: RequestState): number {
+  return returned ? Infinity : route.objectiveMs * ON_TIME_PART;
+}
+
 /** Returns the time left for a first byte that is on time; below 0 where none can be. */
-export function computeOnTimeMs(now: number, { incoming, route, returned }: RequestState): number {
-  if (returned) return -1;
-  return incoming.arrivedAt + route.objectiveMs * ON_TIME_PART - now;
+export function computeOnTimeMs(now: number, state: RequestState): number {
+  if (state.returned) return -1;
+  return state.incoming.arrivedAt + computeObjectiveMs(state) - now;
 }
 
 /** Returns how long a request whose answer will be late may still wait for a place. */
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -13,7 +13,6 @@
 import type { ServerEntry } from '@masticbend/scheduling/server-entry';
 import { countUnits, type SharedLimits } from '@masticbend/scheduling/shared-limit';
 import type { WaitingLine } from '@masticbend/scheduling/waiting-line';
-import { Repeat } from '@masticbend/settings/routing';
 import { checkAccess, checkAccessAgain, type CheckKeys } from './access.js';
 import { startAttempt, type AttemptResult } from './attempt.js';
 import type { BackendClient } from './backend-client.js';
@@ -21,6 +20,7 @@
 import type { Delivery } from './delivery.js';
 import type { PermitClient, PermitEvents } from './permit-client.js';
 import { createPlacement } from './placement.js';
+import { isFinalAnswer, isRepeatAllowed } from './repeat.js';
 import { createRequestLog } from './request-log.js';
 import {
   createRequestState,
@@ -250,21 +250,10 @@
     lines.writeAttemptFailed(state, entry, result.kind);
   }
 
-  /**
-   * A failure of the backend server is worth a repeat where one is allowed, and cannot be shown
-   * to a caller whose answer has begun.
-   */
-  function isFinalAnswer({ route, sent, delivery }: RequestState, status: number): boolean {
-    if (delivery.hasBegun()) return false;
-    return status < 500 || route.repeat === Repeat.Never || sent >= route.attempts;
-  }
-
   function takeRepeat(state: RequestState): boolean {
-    const { route, sent, mayHaveRun, delivery } = state;
-    if (sent >= route.attempts || clock.now() >= state.deadlineAt) return false;
-    if (mayHaveRun > 0 && route.repeat === Repeat.Never) return false;
-    if (delivery.hasBegun() && state.lastEventId === undefined) return false;
-    return repeats.tryTake(clock.now(), state.service, options.countInstances());
+    const now = clock.now();
+    if (!isRepeatAllowed(now, state)) return false;
+    return repeats.tryTake(now, state.service, options.countInstances());
   }
 
   /** Ends a request that gets no further attempt: by what is known of those it had. */
--- a/packages/scheduling/src/server-board.ts
+++ b/packages/scheduling/src/server-board.ts
@@ -9,6 +9,7 @@
   createServerEntry,
   estimateFinishMs,
   estimateFirstMs,
+  estimateReadingMs,
   type PlacedWork,
   type ServerEntry,
 } from './server-entry.js';
@@ -49,7 +50,9 @@
   lateRank: number;
   /** Servers left out. */
   excluded: ReadonlySet<string>;
-  /** Time left to the first event of an answer that is on time, and to the whole answer. */
+  /** Time in which a first event is on time, from the arrival; Infinity for returned callers. */
+  objectiveMs: number;
+  /** What is left of it, and of the time for the whole answer. */
   onTimeMs: number;
   leftMs: number;
   /** Longest wait for a place at a server where it will be late. */
@@ -63,6 +66,8 @@
   load?: AgentLoad;
   /** The first event is expected on time. */
   onTime: boolean;
+  /** Order of service there. */
+  rank: number;
   /** The whole answer is expected in the time left. */
   inTime: boolean;
   /** A place is free now. */
@@ -171,10 +176,10 @@
         }
       }
       if (!best) {
- return usable > 0
+        return usable > 0
           ? { kind: 'full', waitMs: leastWaitMs === Infinity ? undefined : leastWaitMs }
           : { kind: 'none' };
-}
+      }
       return { kind: 'server', ...best };
     },
     addRun(entry, work) {
@@ -248,24 +253,30 @@
 
 function describeCandidate(
   entry: ServerEntry,
-  { work, rank, lateRank, onTimeMs, lateWaitMs, leftMs }: PlaceQuery,
+  query: PlaceQuery,
   load: AgentLoad | undefined,
   dataCentre: string,
 ): Candidate | undefined {
+  const { work, onTimeMs, lateWaitMs, leftMs } = query;
   const { slots } = entry.server;
   const held = load?.held ?? countHeld(entry);
   if (!load && held >= slots + AHEAD) return undefined;
   const firstMs = estimateFirstMs(entry, work);
-  const waitMs = load ? chooseWait(load, rank) : 0;
-  const onTime = waitMs + firstMs <= onTimeMs;
-  const expectedWaitMs = onTime || !load ? waitMs : chooseWait(load, lateRank);
+  const onTime = (load ? chooseWait(load, query.rank) : 0) + firstMs <= onTimeMs;
+  const rank = onTime || isTooLarge(entry, query) ? query.rank : query.lateRank;
+  const expectedWaitMs = load ? chooseWait(load, rank) : 0;
   if (!onTime && expectedWaitMs > lateWaitMs) return undefined;
   const finishMs = estimateFinishMs(entry, work, held) + expectedWaitMs;
   const free = expectedWaitMs === 0;
   const distance = entry.server.dataCentre === dataCentre ? 0 : DISTANCE_PART;
   const cost = finishMs * (1 + distance) + entry.failureShare * FAILURE_COST_MS;
   const inTime = finishMs <= leftMs * IN_TIME_PART;
-  return { entry, load, onTime, inTime, free, firstMs, finishMs, cost };
+  return { entry, load, onTime, rank, inTime, free, firstMs, finishMs, cost };
+}
+
+/** A request that is late by its size alone keeps its place among those on time. */
+function isTooLarge(entry: ServerEntry, { work, objectiveMs }: PlaceQuery): boolean {
+  return work.events > 0 && estimateReadingMs(entry, work.promptTokens) > objectiveMs;
 }
 
 /** Whole answers first, then those on time, then those without a wait, then the quickest. */
--- a/packages/scheduling/src/server-entry.ts
+++ b/packages/scheduling/src/server-entry.ts
@@ -75,6 +75,10 @@
 /** Time to the first event, or to the whole answer of a plain service, in milliseconds. */
 export function estimateFirstMs(entry: ServerEntry, work: PlacedWork): number {
   if (work.events === 0) return entry.workMs ?? INITIAL_WORK_MS;
-  const thousands = (entry.readingTokens + work.promptTokens) / 1_000 + 1;
-  return thousands * (entry.readingMs ?? INITIAL_READING_MS);
+  return estimateReadingMs(entry, entry.readingTokens + work.promptTokens);
+}
+
+/** Time to the first event with so many prompt tokens to read, in milliseconds. */
+export function estimateReadingMs(entry: ServerEntry, tokens: number): number {
+  return (tokens / 1_000 + 1) * (entry.readingMs ?? INITIAL_READING_MS);
 }
--- a/packages/scheduling/test/server-board.test.ts
+++ b/packages/scheduling/test/server-board.test.ts
@@ -43,6 +43,7 @@
     rank: 0,
     lateRank: 1,
     excluded: new Set(),
+    objectiveMs: 300,
     onTimeMs: 300,
     lateWaitMs: 300,
     leftMs: LEFT_MS,
@@ -80,7 +81,9 @@
 
   it('says full, with the least wait, where every wait is too long even for a late answer', () => {
     const findLoad = createLoads({ fast: FULL, slow: { ...FULL, waitsMs: [100, 700] } });
-    expect(createBoard().choose(0, createQuery({ findLoad, onTimeMs: -1 }))).to.deep.equal({
+    expect(
+      createBoard().choose(0, createQuery({ findLoad, objectiveMs: Infinity, onTimeMs: -1 })),
+    ).to.deep.equal({
       kind: 'full',
       waitMs: 700,
     });
@@ -92,10 +95,22 @@
     board.recordFirst(board.find('slow')!, 2, 1_000);
     const findLoad = createLoads({ fast: FULL, slow: {} });
     expect(chooseId(board, createQuery({ findLoad }))).to.equal('fast');
-    const late = createQuery({ findLoad, onTimeMs: -1, lateWaitMs: 2_000 });
+    const late = createQuery({
+      findLoad,
+      objectiveMs: Infinity,
+      onTimeMs: -1,
+      lateWaitMs: 2_000,
+    });
     expect(chooseId(board, late)).to.equal('slow');
   });
 
+  it('keeps a request that is late by its size alone among first arrivals', () => {
+    const findLoad = createLoads({ fast: FULL, slow: FULL });
+    const large = { promptTokens: 20_000, events: 5 };
+    const choice = createBoard().choose(0, createQuery({ findLoad, work: large }));
+    expect(choice).to.include({ kind: 'server', onTime: false, rank: 0 });
+  });
+
   it('learns the reading time by what was in line when a request was sent', () => {
     const board = createBoard();
     const fast = board.find('fast')!;
