--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -4,7 +4,6 @@
  */
 import type { Clock } from '@masticbend/kernel/clock';
 import { ErrorKind, type Failure } from '@masticbend/protocol/error';
-import { computeRank } from '@masticbend/scheduling/rank';
 import type {
   AgentLoad,
   Choice,
@@ -17,6 +16,7 @@
 import type { PermitClient, PermitEvents } from './permit-client.js';
 import type { RequestState } from './request-state.js';
 import {
+  chooseRank,
   computeLateWaitMs,
   computeObjectiveMs,
   computeOnTimeMs,
@@ -85,12 +85,12 @@
 
   function chooseServer(state: RequestState): Choice {
     const now = clock.now();
-    const { service, work, tier, tried, asked, deadlineAt } = state;
+    const { service, work, tried, asked, deadlineAt } = state;
     return board.choose(now, {
       service,
       work,
-      rank: computeRank(tier, false),
-      lateRank: computeRank(tier, true),
+      rank: chooseRank(state, true),
+      lateRank: chooseRank(state, false),
       excluded: new Set([...tried, ...asked]),
       objectiveMs: computeObjectiveMs(state),
       onTimeMs: computeOnTimeMs(now, state),
@@ -109,12 +109,12 @@
 
   function waitInLine(state: RequestState): void {
     const now = clock.now();
-    const { service, tier, work } = state;
+    const { service, work } = state;
     const places = board.countPlaces(now, service) / options.countInstances();
     const firstMs = board.estimateFirstMs(service, work);
-    const expectedMs = line.estimateWaitMs(service, computeRank(tier, false), places) + firstMs;
+    const expectedMs = line.estimateWaitMs(service, chooseRank(state, true), places) + firstMs;
     const onTime = expectedMs <= computeOnTimeMs(now, state);
-    const rank = computeRank(tier, !onTime && firstMs <= computeObjectiveMs(state));
+    const rank = chooseRank(state, onTime || firstMs > computeObjectiveMs(state));
     const waiting = describeWaiting(now, board, state, { onTime, rank, firstMs });
     const waitMs = line.add(now, waiting, places);
     if (waitMs === undefined) {
--- a/packages/gateway/src/request-timing.ts
+++ b/packages/gateway/src/request-timing.ts
@@ -1,4 +1,5 @@
 /** How long a request may wait for a place, and how long its server may be silent. */
+import { computeRank } from '@masticbend/scheduling/rank';
 import type { ServerBoard } from '@masticbend/scheduling/server-board';
 import type { WaitingRequest } from '@masticbend/scheduling/waiting-line';
 import { Repeat } from '@masticbend/settings/routing';
@@ -46,6 +47,11 @@
   };
 }
 
+/** Returns the order of service; a repeat goes on with what was begun, so it is not put behind. */
+export function chooseRank({ tier, mayHaveRun }: RequestState, onTime: boolean): number {
+  return computeRank(tier, !onTime && mayHaveRun === 0);
+}
+
 /** Returns the time from arrival in which a first byte is on time; Infinity for the returned. */
 export function computeObjectiveMs({ route, returned }: RequestState): number {
   return returned ? Infinity : route.objectiveMs * ON_TIME_PART;
--- a/packages/gateway/test/placement.test.ts
+++ b/packages/gateway/test/placement.test.ts
@@ -131,6 +131,16 @@
     expect(returned!.waitMs).to.be.within(OBJECTIVE_MS, MOST_WAIT_MS);
   });
 
+  it('does not put a repeat behind, even when it is late', () => {
+    const { asked, place } = createSetUp([100]);
+    place();
+    const [first] = asked.values();
+    const incoming = { arrivedAt: -OBJECTIVE_MS, facts: { promptTokens: 500, outputTokens: 100 } };
+    place({ id: 'b', mayHaveRun: 1, incoming: incoming as RequestState['incoming'] });
+    const [repeat] = asked.values();
+    expect(repeat!.rank).to.equal(first!.rank);
+  });
+
   it('refuses at once, with the wait, what no agent expects to start in any useful time', () => {
     const { asked, refused, place } = createSetUp([MOST_WAIT_MS * 2]);
     place();
--- a/packages/scheduling/src/waiting-line.ts
+++ b/packages/scheduling/src/waiting-line.ts
@@ -105,7 +105,7 @@
   };
 }
 
-/** Describes a waiting request to the queue. */
+/** Describes a waiting request to the queue, whose tiers are ranks here. */
 export function createWaitingWork(request: WaitingRequest, order: number): QueuedWork {
   const { id, service, account, arrivedAt, startBy, costMs, tokens } = request;
   const work: WorkDescription = {
