--- a/packages/gateway/src/access.ts
+++ b/packages/gateway/src/access.ts
@@ -8,6 +8,9 @@
 /** Advice of a process that has just started: it reads its configuration in that time. */
 const START_RETRY_MS = 400;
 
+/** The keys in force may have been taken away since they were read. */
+const STALE_KEYS: Failure = { kind: ErrorKind.PlatformUnavailable, retryAfterMs: OUTAGE_RETRY_MS };
+
 /** Tells whether the keys in force are known recently enough to admit by them. */
 export type CheckKeys = () => boolean;
 
@@ -23,9 +26,7 @@
   const route = view.routes.find(host, target);
   if (!route) return { kind: ErrorKind.NotFound };
   if (route.anonymous || view.configuration.accounts.length === 0) return { route };
-  if (!areKeysFresh()) {
-    return { kind: ErrorKind.PlatformUnavailable, retryAfterMs: OUTAGE_RETRY_MS };
-  }
+  if (!areKeysFresh()) return STALE_KEYS;
   const account = view.accounts.get(facts.apiKey ?? '');
   return account ? { route, account } : { kind: ErrorKind.Unauthenticated };
 }
@@ -37,9 +38,7 @@
   areKeysFresh: CheckKeys,
 ): Failure | undefined {
   if (!account) return undefined;
-  if (!areKeysFresh()) {
-    return { kind: ErrorKind.PlatformUnavailable, retryAfterMs: OUTAGE_RETRY_MS };
-  }
+  if (!areKeysFresh()) return STALE_KEYS;
   if (view?.configuration.version === version) return undefined;
   const isKept = view?.accounts.get(incoming.facts.apiKey ?? '')?.name === account.name;
   return isKept ? undefined : { kind: ErrorKind.Unauthenticated };
--- a/packages/gateway/src/administration.ts
+++ b/packages/gateway/src/administration.ts
@@ -35,14 +35,18 @@
     return ready;
   }
 
+  function registerAge(name: Metric, getAgeMs: () => number | undefined): void {
+    metrics.registerGauge(name, () => Math.round(getAgeMs() ?? -1));
+  }
+
   return {
     async start() {
       metrics.registerGauge(Metric.OpenRequests, kernel.find('requests').countOpen);
       metrics.registerGauge(Metric.ConfigurationRevision, () =>
         Number(view.getView()?.configuration.version ?? 0),
       );
-      metrics.registerGauge(Metric.ConfigurationAge, view.getAgeMs);
-      metrics.registerGauge(Metric.ServersAge, kernel.find('servers').getAgeMs);
+      registerAge(Metric.ConfigurationAge, view.getAgeMs);
+      registerAge(Metric.ServersAge, kernel.find('servers').getAgeMs);
       metrics.registerGauge(Metric.OtherEntries, () => kernel.find('members').listOthers().length);
       metrics.registerGauge(Metric.ListedServers, () => board.listServers().length);
       metrics.registerGauge(Metric.UsableServers, () => board.countUsable(clock.now()));
--- a/packages/gateway/src/backend-client.ts
+++ b/packages/gateway/src/backend-client.ts
@@ -54,7 +54,7 @@
 
 /** Code given to a connection reset, since undici takes `ECONNRESET` as the end of an answer. */
 const RESET_CODE = 'RESET';
-/** Code given to a connection reset; undici takes `ECONNRESET` as the end of an answer. */
+/** Bytes written when a connection ends, to tell a regular end from a reset. */
 const PROBE = '\r\n';
 
 /** What is known of the answer on one connection. */
@@ -69,6 +69,7 @@
 /** Returns a client without connections. */
 export function createBackendClient(): BackendClient {
   const pools = new Map<string, Pool>();
+
   function findPool(server: BackendServer): Pool {
     const key = formatKey(server);
     let pool = pools.get(key);
--- a/packages/gateway/src/explain.ts
+++ b/packages/gateway/src/explain.ts
@@ -3,19 +3,20 @@
  * processes came to believe shortly before of the servers it met, of the store and of the keys.
  */
 import { readFileSync } from 'node:fs';
+import { LogEvent } from '@masticbend/kernel/log';
 
 /** Time before a request's first line in which beliefs are shown, in milliseconds. */
 const BEFORE_MS = 10_000;
 /** Events about what a whole process depends on. */
-const PROCESS_EVENTS = new Set([
-  'platform-unavailable',
-  'platform-restored',
-  'keys-stale',
-  'keys-fresh',
-  'configuration-applied',
-  'limit-share-changed',
-  'process-started',
-  'process-stopping',
+const PROCESS_EVENTS: ReadonlySet<string> = new Set([
+  LogEvent.PlatformUnavailable,
+  LogEvent.PlatformRestored,
+  LogEvent.KeysStale,
+  LogEvent.KeysFresh,
+  LogEvent.ConfigurationApplied,
+  LogEvent.LimitShareChanged,
+  LogEvent.ProcessStarted,
+  LogEvent.ProcessStopping,
 ]);
 
 interface LogLine {
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -8,7 +8,7 @@
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import { readCallerFacts } from '@masticbend/platform/ingress';
 import { ErrorKind, type Failure } from '@masticbend/protocol/error';
-import type { CallerLimits } from '@masticbend/settings/routing';
+import { DEFAULT_CALLER_LIMITS, type CallerLimits } from '@masticbend/settings/routing';
 import { createDelivery } from './delivery.js';
 import { startServer } from './network.js';
 import type { Requests } from './requests.js';
@@ -25,13 +25,6 @@
 const IDLE_MARGIN_MS = 1_000;
 /** Advice to callers of a stopping entry, whose next connection goes elsewhere, in milliseconds. */
 const STOPPING_RETRY_MS = 20;
-/** Limits before a configuration is known. */
-const INITIAL_LIMITS: CallerLimits = {
-  headerBytes: 16_384,
-  bodyBytes: 4_194_304,
-  headerMs: 3_000,
-  idleMs: 15_000,
-};
 
 /** What the server needs. */
 export interface IngressOptions {
@@ -64,7 +57,7 @@
   let refusing = false;
 
   function getLimits(): CallerLimits {
-    return options.getLimits() ?? INITIAL_LIMITS;
+    return options.getLimits() ?? DEFAULT_CALLER_LIMITS;
   }
 
   function handleRequest(request: IncomingMessage, response: ServerResponse): void {
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -4,8 +4,8 @@
  * time must not admit work by shared limits, since the others may have taken over its part.
  */
 import { waitFor, type Clock } from '@masticbend/kernel/clock';
-import type { Logger } from '@masticbend/kernel/log';
-import { LogEvent } from '@masticbend/kernel/log';
+import { LogEvent, type Logger } from '@masticbend/kernel/log';
+import { parseJson, readFields, readText } from '@masticbend/platform/decode';
 import type { Store } from '@masticbend/platform/store';
 import { isAddress } from '@masticbend/settings/address';
 
@@ -139,10 +139,6 @@
 }
 
 function readAddress(value: Buffer): string | undefined {
-  try {
-    const { address } = JSON.parse(value.toString()) as { address?: unknown };
-    return typeof address === 'string' && isAddress(address) ? address : undefined;
-  } catch {
-    return undefined;
-  }
+  const address = readText(readFields(parseJson(value))?.address);
+  return address !== undefined && isAddress(address) ? address : undefined;
 }
--- a/packages/gateway/src/peer-mesh.ts
+++ b/packages/gateway/src/peer-mesh.ts
@@ -96,7 +96,7 @@
       },
     });
     connection.send({ kind: 'peer-hello', instance: self.instance, incarnation });
-    connection.send(createReport(reportedUnits));
+    connection.send(createReport(describe().running, reportedUnits));
   }
 
   function addPeer(instance: string, peerIncarnation: string, connection: Connection): Peer {
@@ -143,8 +143,10 @@
   }
 
   /** Reports what runs, and the given totals of admitted units. */
-  function createReport(units: ReadonlyMap<string, number>): PeerReportMessage {
-    const { running } = describe();
+  function createReport(
+    running: ReadonlyMap<string, number>,
+    units: ReadonlyMap<string, number>,
+  ): PeerReportMessage {
     return {
       kind: 'peer-report',
       servers: [...running.keys()],
@@ -179,13 +181,14 @@
   function sendReports(now: number): void {
     const sinceMs = now - lastSentAt;
     if (peers.size === 0 || sinceMs < REPORT_INTERVAL_MS + peers.size * PEER_INTERVAL_MS) return;
-    const { admitted } = describe();
+    const { running, admitted } = describe();
     const changed = [...admitted].filter(([name, units]) => units !== reportedUnits.get(name));
-    const report = createReport(new Map(changed));
-    const running = report.servers.join() + report.running.join();
-    if (changed.length === 0 && running === reportedRunning && sinceMs < REST_INTERVAL_MS) return;
+    const report = createReport(running, new Map(changed));
+    const runningText = report.servers.join() + report.running.join();
+    const isSame = changed.length === 0 && runningText === reportedRunning;
+    if (isSame && sinceMs < REST_INTERVAL_MS) return;
     reportedUnits = new Map(admitted);
-    reportedRunning = running;
+    reportedRunning = runningText;
     lastSentAt = now;
     for (const { connection } of peers.values()) connection.send(report);
   }
--- a/packages/gateway/src/permit-server.ts
+++ b/packages/gateway/src/permit-server.ts
@@ -4,6 +4,7 @@
  */
 import { createServer, type Server, type Socket } from 'node:net';
 import type { Clock } from '@masticbend/kernel/clock';
+import { renderGauge } from '@masticbend/kernel/gauge';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import { createConnection, type Connection } from '@masticbend/protocol/connection';
 import type { Message } from '@masticbend/protocol/message';
@@ -114,7 +115,7 @@
 
   /** Runs the check only while something waits: each wake-up costs processor time. */
   function scheduleExpiry(): void {
-    if (stopExpiry || queue.report().waiting === 0) return;
+    if (stopExpiry || queue.countWaiting() === 0) return;
     stopExpiry = clock.startTimer(EXPIRY_CHECK_MS, () => {
       stopExpiry = undefined;
       sendAnswers(queue.expire(clock.now()));
@@ -149,7 +150,7 @@
         masticbend_connected_entries: owners.size,
       };
       return Object.entries(gauges)
-        .map(([name, value]) => `# TYPE ${name} gauge\n${name} ${value}\n`)
+        .map(([name, value]) => renderGauge(name, value))
         .join('');
     },
     dump: () => ({ ...queue.report(), owners: owners.size }),
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -73,8 +73,7 @@
     } else if (choice.kind === 'none') {
       refuse(state, createPlaceFailure(state));
     } else if (choice.kind === 'full' && choice.waitMs !== undefined) {
-      const retryAfterMs = drawRetryMs(state, choice.waitMs);
-      refuse(state, { kind: ErrorKind.Overloaded, retryAfterMs });
+      refuse(state, createOverload(state, choice.waitMs));
     } else if (choice.kind === 'server' && line.count(service) === 0) {
       send(state, choice.entry, choice.finishMs);
     } else {
@@ -104,7 +103,11 @@
     if (state.refusedWaitMs === undefined) {
       return { kind: ErrorKind.NoBackendServer, retryAfterMs: OUTAGE_RETRY_MS };
     }
-    return { kind: ErrorKind.Overloaded, retryAfterMs: drawRetryMs(state, state.refusedWaitMs) };
+    return createOverload(state, state.refusedWaitMs);
+  }
+
+  function createOverload(state: RequestState, waitMs: number): Failure {
+    return { kind: ErrorKind.Overloaded, retryAfterMs: drawRetryMs(state, waitMs) };
   }
 
   function waitInLine(state: RequestState): void {
@@ -115,39 +118,42 @@
     const expectedMs = line.estimateWaitMs(service, chooseRank(state, true), places) + firstMs;
     const onTime = expectedMs <= computeOnTimeMs(now, state);
     const rank = chooseRank(state, onTime || firstMs > computeObjectiveMs(state));
-    const waiting = describeWaiting(now, board, state, { onTime, rank, firstMs });
+    const costMs = board.estimateHoldMs(service, work);
+    const waiting = describeWaiting(now, state, { onTime, rank, firstMs }, costMs);
     const waitMs = line.add(now, waiting, places);
-    if (waitMs === undefined) {
-      scheduleExpiry();
-      return;
-    }
-    const retryAfterMs = drawRetryMs(state, waitMs);
-    refuse(state, { kind: ErrorKind.Overloaded, retryAfterMs });
+    if (waitMs === undefined) scheduleExpiry();
+    else refuse(state, createOverload(state, waitMs));
   }
 
   /** Asks the agent of the best server; where it would wait, those of the next best as well. */
   function reserveBest(state: RequestState, best: ServerChoice, load: AgentLoad): void {
+    const holdMs = board.estimateHoldMs(state.service, state.work);
     if (load.held < best.entry.server.slots) {
-      reserveAt(state, best, 1);
+      reserveAt(state, best, holdMs, 1);
       return;
     }
     let next: Choice = best;
     while (next.kind === 'server' && next.load && next.onTime === best.onTime) {
-      reserveAt(state, next, PARALLEL_ASKS);
+      reserveAt(state, next, holdMs, PARALLEL_ASKS);
       if (state.asked.size >= PARALLEL_ASKS) return;
       next = chooseServer(state);
     }
   }
 
-  function reserveAt(state: RequestState, expected: ServerChoice, agents: number): void {
+  function reserveAt(
+    state: RequestState,
+    expected: ServerChoice,
+    holdMs: number,
+    agents: number,
+  ): void {
     const now = clock.now();
     const { server } = expected.entry;
-    const wish = describeWaiting(now, board, state, expected);
-    const { id, account, rank, tokens, costMs, startBy } = wish;
+    const wish = describeWaiting(now, state, expected, holdMs);
+    const { id, account, rank, tokens, startBy } = wish;
     state.asked.add(server.id);
     state.asks += 1;
     const waitMs = Math.max(0, startBy - now);
-    permits.ask(server.id, { request: id, account, rank, tokens, holdMs: costMs, waitMs, agents });
+    permits.ask(server.id, { request: id, account, rank, tokens, holdMs, waitMs, agents });
   }
 
   function receivePermit(serverId: string, id: string): void {
--- a/packages/gateway/src/request-state.ts
+++ b/packages/gateway/src/request-state.ts
@@ -119,6 +119,23 @@
   };
 }
 
+/** Describes a request that has its final answer. */
+export function describeOutcome(
+  now: number,
+  { incoming, tier, account, sentAt, firstByteAt }: RequestState,
+  outcome: string,
+): RequestOutcome {
+  const getTimeTo = (moment: number) => moment - incoming.arrivedAt;
+  return {
+    tier,
+    account: account?.name ?? '',
+    outcome,
+    waitMs: sentAt && getTimeTo(sentAt),
+    firstByteMs: firstByteAt && getTimeTo(firstByteAt),
+    totalMs: getTimeTo(now),
+  };
+}
+
 function describeWork(route: GatewayRoute, facts: CallerFacts, tokensPerEvent: number): PlacedWork {
   if (!route.streamed) return { promptTokens: 0, events: 0 };
   const most = facts.outputTokens ?? 0;
--- a/packages/gateway/src/request-timing.ts
+++ b/packages/gateway/src/request-timing.ts
@@ -1,6 +1,5 @@
 /** How long a request may wait for a place, and how long its server may be silent. */
 import { computeRank } from '@masticbend/scheduling/rank';
-import type { ServerBoard } from '@masticbend/scheduling/server-board';
 import type { WaitingRequest } from '@masticbend/scheduling/waiting-line';
 import { Repeat } from '@masticbend/settings/routing';
 import type { RequestState } from './request-state.js';
@@ -26,14 +25,14 @@
   firstMs: number;
 }
 
-/** Describes a request that waits for a place. */
+/** Describes a request that waits for a place, which it will hold for `costMs`. */
 export function describeWaiting(
   now: number,
-  board: Pick<ServerBoard, 'estimateHoldMs'>,
   state: RequestState,
   { onTime, rank, firstMs }: ExpectedPlace,
+  costMs: number,
 ): WaitingRequest {
-  const { id, service, account, work, incoming } = state;
+  const { id, service, account, incoming } = state;
   const waitMs = onTime ? computeOnTimeMs(now, state) - firstMs : computeLateWaitMs(now, state);
   return {
     id,
@@ -42,7 +41,7 @@
     rank,
     arrivedAt: incoming.arrivedAt,
     startBy: now + Math.max(0, waitMs),
-    costMs: board.estimateHoldMs(service, work),
+    costMs,
     tokens: (incoming.facts.promptTokens ?? 0) + (incoming.facts.outputTokens ?? 0),
   };
 }
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -14,21 +14,22 @@
 import { countUnits, type SharedLimits } from '@masticbend/scheduling/shared-limit';
 import type { WaitingLine } from '@masticbend/scheduling/waiting-line';
 import { checkAccess, checkAccessAgain, type CheckKeys } from './access.js';
-import { startAttempt, type AttemptResult } from './attempt.js';
+import type { AttemptResult } from './attempt.js';
 import type { BackendClient } from './backend-client.js';
 import type { ConfigurationView } from './configuration-view.js';
 import type { Delivery } from './delivery.js';
+import { createDispatch } from './dispatch.js';
 import type { PermitClient, PermitEvents } from './permit-client.js';
 import { createPlacement } from './placement.js';
 import { isFinalAnswer, isRepeatAllowed } from './repeat.js';
 import { createRequestLog } from './request-log.js';
 import {
   createRequestState,
+  describeOutcome,
   type IncomingRequest,
   type RequestOutcome,
   type RequestState,
 } from './request-state.js';
-import { chooseSilence } from './request-timing.js';
 
 /** Time left to a backend server's own answer at the deadline, in milliseconds. */
 const DEADLINE_MARGIN_MS = 40;
@@ -71,7 +72,7 @@
 
 /** Returns an entry's requests. */
 export function createRequests(options: RequestsOptions): Requests {
-  const { clock, drawRandom, client, board, line, limits, repeats, permits } = options;
+  const { clock, drawRandom, board, line, limits, repeats, permits } = options;
   const open = new Map<string, RequestState>();
   let next = 1;
   const advice = createRetryAdvice(drawRandom);
@@ -85,6 +86,15 @@
     refuse: finishUnserved,
   });
 
+  const dispatch = createDispatch({
+    ...options,
+    onResult(state, entry, result) {
+      options.recordAttempt(entry.server.id, result.kind);
+      handleResult(state, entry, result);
+      placement.sendWaiting(state.service);
+    },
+  });
+
   function accept(incoming: IncomingRequest, connect: (onAbandoned: () => void) => Delivery): void {
     const view = options.getView();
     let state: RequestState | undefined;
@@ -130,8 +140,6 @@
   }
 
   function sendToServer(state: RequestState, entry: ServerEntry, finishMs: number): void {
-    const { incoming, delivery, route, account, work } = state;
-    const now = clock.now();
     advice.recordSent();
     const refusal = checkAccessAgain(options.getView(), state, options.areKeysFresh);
     if (refusal) {
@@ -139,66 +147,12 @@
       finishUnserved(state, refusal);
       return;
     }
-    const { server } = entry;
-    state.tried.add(server.id);
+    state.tried.add(entry.server.id);
     lines.writePlaced(state, entry, finishMs);
-    const thousands = board.addRun(entry, work);
-    permits.addRunning(server.id, state.id);
-    let reading = true;
-    const stopReading = () => {
-      if (reading) board.dropReading(entry, work);
-      reading = false;
-    };
-    state.release = () => {
-      stopReading();
-      board.removeRun(entry);
-      permits.release(server.id, state.id);
-    };
-    const startedAt = now;
-    state.attempt = startAttempt(
-      clock,
-      client,
-      server,
-      {
-        requestId: incoming.facts.requestId,
-        method: incoming.method,
-        target: incoming.target,
-        rawHeaders: incoming.rawHeaders,
-        body: incoming.body,
-        account: account?.name,
-        streamed: route.streamed,
-        deadlineMs: state.deadlineAt - now,
-        lastEventId: state.lastEventId,
-        silenceMs: chooseSilence(state),
-      },
-      delivery,
-      {
-        onSent() {
-          state.sent += 1;
-          state.sentAt ??= clock.now();
-        },
-        onFirst(elapsedMs) {
-          stopReading();
-          state.firstByteAt ??= clock.now();
-          if (route.streamed) board.recordFirst(entry, thousands, elapsedMs);
-        },
-        onPace: (intervalMs) => board.recordPace(entry, intervalMs),
-        onResult(result) {
-          state.release();
-          state.attempt = undefined;
-          options.recordAttempt(server.id, result.kind);
-          if (!route.streamed && result.kind === 'answer') {
-            board.recordWork(entry, clock.now() - startedAt);
-          }
-          handleResult(state, entry, result);
-          placement.sendWaiting(state.service);
-        },
-      },
-    );
+    dispatch(state, entry);
   }
 
   function handleResult(state: RequestState, entry: ServerEntry, result: AttemptResult): void {
-    const now = clock.now();
     if (result.kind === 'delivered') {
       board.recordSuccess(entry);
       finish(state, String(result.status));
@@ -211,7 +165,7 @@
       finish(state, String(result.status));
       return;
     }
-    recordTrouble(state, entry, result, now);
+    recordTrouble(state, entry, result);
     if (result.kind === 'unsent') {
       placement.place(state);
     } else if (takeRepeat(state)) {
@@ -222,12 +176,8 @@
     }
   }
 
-  function recordTrouble(
-    state: RequestState,
-    entry: ServerEntry,
-    result: AttemptResult,
-    now: number,
-  ): void {
+  function recordTrouble(state: RequestState, entry: ServerEntry, result: AttemptResult): void {
+    const now = clock.now();
     if (result.kind === 'answer') {
       state.mayHaveRun += 1;
       state.fallback = result;
@@ -292,17 +242,8 @@
     state.stopDeadline();
     placement.withdraw(state);
     open.delete(state.id);
-    const { incoming, sentAt, firstByteAt } = state;
-    const getTimeTo = (moment: number) => moment - incoming.arrivedAt;
     if (logged) lines.writeFinished(state, outcome);
-    options.recordOutcome({
-      tier: state.tier,
-      account: state.account?.name ?? '',
-      outcome,
-      waitMs: sentAt && getTimeTo(sentAt),
-      firstByteMs: firstByteAt && getTimeTo(firstByteAt),
-      totalMs: getTimeTo(clock.now()),
-    });
+    options.recordOutcome(describeOutcome(clock.now(), state, outcome));
   }
 
   function handleDeadline(state: RequestState): void {
--- a/packages/gateway/src/services.ts
+++ b/packages/gateway/src/services.ts
@@ -38,6 +38,6 @@
   getView: () => ConfigurationView | undefined;
   areKeysFresh: () => boolean;
   isRecent: () => boolean;
-  /** Time since the last confirmed read was sent, in milliseconds; -1 before the first. */
-  getAgeMs: () => number;
+  /** Time since the last answered read was sent, in milliseconds; undefined before the first. */
+  getAgeMs: TableFeed['getAgeMs'];
 }
--- a/packages/gateway/src/table-feed.ts
+++ b/packages/gateway/src/table-feed.ts
@@ -27,10 +27,8 @@
 
 /** A running feed. */
 export interface TableFeed {
-  /** Elapsed time at which the last answered read was sent; undefined before the first. */
-  getConfirmedAt: () => number | undefined;
-  /** Time since then, in milliseconds; -1 before the first. */
-  getAgeMs: () => number;
+  /** Time since the last answered read was sent, in milliseconds; undefined before the first. */
+  getAgeMs: () => number | undefined;
   getRevision: () => number;
   start: () => void;
   stop: () => void;
@@ -72,7 +70,13 @@
   function recordFailure(reason: string): void {
     failures += 1;
     if (failures > 1) return;
-    log.warn(LogEvent.PlatformUnavailable, { table, reason, revision, ageMs: getAge() });
+    const ageMs = getAgeMs();
+    log.warn(LogEvent.PlatformUnavailable, {
+      table,
+      reason,
+      revision,
+      ageMs: ageMs && Math.round(ageMs),
+    });
   }
 
   function recordAnswer(sentAt: number): void {
@@ -83,8 +87,8 @@
     events.onRestored?.();
   }
 
-  function getAge(): number | undefined {
-    return confirmedAt === undefined ? undefined : Math.round(getElapsed() - confirmedAt);
+  function getAgeMs(): number | undefined {
+    return confirmedAt === undefined ? undefined : getElapsed() - confirmedAt;
   }
 
   async function readOnce(): Promise<number> {
@@ -113,8 +117,7 @@
   }
 
   return {
-    getConfirmedAt: () => confirmedAt,
-    getAgeMs: () => getAge() ?? -1,
+    getAgeMs,
     getRevision: () => revision ?? 0,
     start() {
       run().catch((error: Error) => {
--- a/packages/gateway/src/view-service.ts
+++ b/packages/gateway/src/view-service.ts
@@ -66,8 +66,7 @@
   });
 
   function getAgeMs(): number {
-    const confirmedAt = feed.getConfirmedAt();
-    return confirmedAt === undefined ? Infinity : getElapsed() - confirmedAt;
+    return feed.getAgeMs() ?? Infinity;
   }
 
   function checkKeys(): boolean {
--- /dev/null
+++ b/packages/kernel/src/gauge.ts
@@ -0,0 +1,6 @@
+/** Gauges as Prometheus text, for programs that show nothing else and load no histograms. */
+
+/** Renders one gauge without labels. */
+export function renderGauge(name: string, value: number): string {
+  return `# TYPE ${name} gauge\n${name} ${value}\n`;
+}
--- a/packages/kernel/src/metrics.ts
+++ b/packages/kernel/src/metrics.ts
@@ -4,6 +4,7 @@
  */
 import { build, type Histogram } from 'hdr-histogram-js';
 import type { Clock } from './clock.js';
+import { renderGauge } from './gauge.js';
 
 /** Names of the metrics a process may show. */
 export const Metric = {
@@ -125,7 +126,7 @@
       const blocks = [
         ...renderGroups([...counters.values()], 'counter', renderCounter),
         ...renderGroups([...durations.values()], 'summary', renderDuration),
-        ...[...gauges].map(([name, read]) => `# TYPE ${name} gauge\n${name} ${read()}\n`),
+        ...[...gauges].map(([name, read]) => renderGauge(name, read())),
       ];
       return blocks.join('');
     },
--- a/packages/scheduling/src/agent-scheduler.ts
+++ b/packages/scheduling/src/agent-scheduler.ts
@@ -159,11 +159,6 @@
     }
   }
 
-  function findExpired(now: number): QueuedWork | undefined {
-    const urgent = queue.getMostUrgent();
-    return urgent && urgent.startBy <= now ? urgent : undefined;
-  }
-
   function createMiss(now: number, reservation: Reservation): Failure {
     const finishMs =
       estimateStartDelayMs(now, reservation) + progress.estimateServiceMs(reservation.work);
@@ -260,7 +255,7 @@
           refusals.push({ reservation, failure: createOverload(now, reservation) });
         }
       }
-      for (let late = findExpired(now); late; late = findExpired(now)) {
+      for (let late = queue.findExpired(now); late; late = queue.findExpired(now)) {
         queue.remove(late.request);
         givenUp.push(late);
       }
--- a/packages/scheduling/src/permit-queue.ts
+++ b/packages/scheduling/src/permit-queue.ts
@@ -4,14 +4,16 @@
  * fair shares between accounts inside a rank. A state machine without clocks or sockets.
  */
 import type { PermitRequestMessage } from '@masticbend/protocol/gateway-message';
+import { mergeMean } from './moving-mean.js';
 import { createQueue } from './queue.js';
 import type { QueuedWork } from './queued-work.js';
 import { RANKS } from './rank.js';
 import { AHEAD, type AgentLoad } from './server-board.js';
 import { createWaitingWork } from './waiting-line.js';
 
-/** How far the mean hold time follows the last one. */
+/** How far the mean hold times, and the scale of waits, follow the last ones. */
 const HOLD_STEP = 0.1;
+const WAIT_STEP = 0.1;
 /** Most times that a wait is taken to be longer than the work ahead. */
 const LONGEST_SCALE = 20;
 
@@ -39,6 +41,7 @@
   /** Refuses what has waited too long. */
   expire: (now: number) => PermitAnswer[];
   report: () => AgentLoad & { waiting: number };
+  countWaiting: () => number;
 }
 
 interface HeldPermit {
@@ -86,27 +89,21 @@
     return slots > 0 && held.size < slots + AHEAD;
   }
 
-  function sumBacklogMs(rank: number): number {
-    return queue
-      .sumCostMsByTier()
-      .slice(0, rank + 1)
-      .reduce((sum, costMs) => sum + costMs, 0);
-  }
-
   /** Work ahead over all places, and the rest of what holds the first place to come free. */
-  function countAheadMs(rank: number, holdMs: number): number {
+  function estimateAheadMs(backlogMs: number, holdMs: number): number {
     const places = Math.max(1, slots);
-    return (sumBacklogMs(rank) * getScale() + (meanHoldMs ?? holdMs)) / places;
+    return (backlogMs * getScale() + (meanHoldMs ?? holdMs)) / places;
   }
 
   /** What comes later with a higher rank goes first too: seen only in the waits that were had. */
   function estimateWaitMs(rank: number, holdMs: number): number {
-    return countAheadMs(rank, holdMs) * waitScales[rank]!;
+    return estimateAheadMs(queue.sumCostMsUpTo(rank), holdMs) * waitScales[rank]!;
   }
 
   function recordWait(now: number, { work, arrivedAt, expectedWaitMs }: WaitingWish): void {
     const ratio = (now - arrivedAt) / Math.max(1, expectedWaitMs);
-    waitScales[work.tier] = mergeMean(waitScales[work.tier], Math.min(LONGEST_SCALE, ratio));
+    const scale = Math.min(LONGEST_SCALE, ratio);
+    waitScales[work.tier] = mergeMean(waitScales[work.tier], scale, WAIT_STEP);
   }
 
   /** Entries expect the times of a middling server; this one is so many times as slow. */
@@ -115,7 +112,12 @@
   }
 
   function listWaits(): number[] {
-    return Array.from({ length: lastRank + 1 }, (_, rank) => Math.round(estimateWaitMs(rank, 0)));
+    let backlogMs = 0;
+    const costsMs = queue.sumCostMsByTier().slice(0, lastRank + 1);
+    return costsMs.map((costMs, rank) => {
+      backlogMs += costMs;
+      return Math.round(estimateAheadMs(backlogMs, 0) * waitScales[rank]!);
+    });
   }
 
   function release(now: number, owner: string, request: string): void {
@@ -126,8 +128,8 @@
     if (!permit) return;
     held.delete(key);
     if (permit.expectedMs === undefined) return;
-    meanHoldMs = mergeMean(meanHoldMs, now - permit.grantedAt);
-    meanExpectedMs = mergeMean(meanExpectedMs, permit.expectedMs);
+    meanHoldMs = mergeMean(meanHoldMs, now - permit.grantedAt, HOLD_STEP);
+    meanExpectedMs = mergeMean(meanExpectedMs, permit.expectedMs, HOLD_STEP);
   }
 
   return {
@@ -142,13 +144,14 @@
     request(now, owner, wish) {
       order += 1;
       lastRank = Math.max(lastRank, wish.rank);
-      const work = createWork(owner, wish, now, order);
-      if (hasRoom() && queue.size() === 0) return [grant(now, work)];
-      const waitMs = estimateWaitMs(work.work.tier, wish.holdMs);
+      const isFree = hasRoom() && queue.size() === 0;
+      const aheadMs = isFree ? 0 : estimateAheadMs(queue.sumCostMsUpTo(wish.rank), wish.holdMs);
+      const work = createWork(owner, wish, now, order, aheadMs);
+      if (isFree) return [grant(now, work)];
+      const waitMs = aheadMs * waitScales[wish.rank]!;
       if (waitMs > wish.waitMs) {
         return [{ owner, request: wish.request, refusedWaitMs: waitMs }];
       }
-      work.expectedWaitMs = countAheadMs(work.work.tier, wish.holdMs);
       queue.add(work);
       return [];
     },
@@ -163,7 +166,7 @@
     },
     expire(now) {
       const answers: PermitAnswer[] = [];
-      for (let late = queue.getMostUrgent(); late && late.startBy <= now;) {
+      for (let late = queue.findExpired(now); late; late = queue.findExpired(now)) {
         queue.remove(late.request);
         recordWait(now, late);
         answers.push({
@@ -171,26 +174,25 @@
           request: readRequest(late),
           refusedWaitMs: estimateWaitMs(late.work.tier, late.costMs),
         });
-        late = queue.getMostUrgent();
       }
       return answers;
     },
     report() {
       const isFree = held.size < slots && queue.size() === 0;
-      return {
-        held: held.size,
-        waiting: queue.size(),
-        waitsMs: isFree ? [0] : listWaits(),
-      };
+      const waitsMs = isFree ? [0] : listWaits();
+      return { held: held.size, waiting: queue.size(), waitsMs };
     },
+    countWaiting: queue.size,
   };
 }
 
-function mergeMean(mean: number | undefined, value: number): number {
-  return mean === undefined ? value : mean + (value - mean) * HOLD_STEP;
-}
-
-function createWork(owner: string, wish: PermitWish, now: number, order: number): WaitingWish {
+function createWork(
+  owner: string,
+  wish: PermitWish,
+  now: number,
+  order: number,
+  expectedWaitMs: number,
+): WaitingWish {
   const { request, account, rank, tokens, holdMs, waitMs, agents } = wish;
   const waiting = {
     id: formatKey(owner, request),
@@ -202,7 +204,7 @@
     costMs: holdMs / agents,
     tokens,
   };
-  return { ...createWaitingWork(waiting, order), owner, holdMs, expectedWaitMs: 0 };
+  return { ...createWaitingWork(waiting, order), owner, holdMs, expectedWaitMs };
 }
 
 /** Two entries may use the same request id. */
--- a/packages/scheduling/src/queue.ts
+++ b/packages/scheduling/src/queue.ts
@@ -23,9 +23,13 @@
   findDisplaceable: (tier: number) => Work | undefined;
   /** Returns the work whose last moment to start is nearest. */
   getMostUrgent: () => Work | undefined;
+  /** Returns work whose last moment to start has passed. */
+  findExpired: (now: number) => Work | undefined;
   /** Waiting reservations and their time at the backend server, by tier. */
   countByTier: () => number[];
   sumCostMsByTier: () => number[];
+  /** Time of the waiting work of a tier and all higher ones, in milliseconds. */
+  sumCostMsUpTo: (tier: number) => number;
   /** Estimates the waiting work that goes before a newcomer, in milliseconds. */
   estimateAheadMs: (tier: number, account: string, deadlineAt: number) => number;
   /** Removes and returns everything. */
@@ -55,6 +59,10 @@
     return work;
   }
 
+  function sumCostMsUpTo(tier: number): number {
+    return tiers.slice(0, tier + 1).reduce((sum, each) => sum + each.getCostMs(), 0);
+  }
+
   return {
     size: () => requests.size,
     add(work) {
@@ -82,11 +90,15 @@
       return undefined;
     },
     getMostUrgent: byStart.getFirst,
+    findExpired(now) {
+      const urgent = byStart.getFirst();
+      return urgent && urgent.startBy <= now ? urgent : undefined;
+    },
     countByTier: () => tiers.map((tier) => tier.size()),
     sumCostMsByTier: () => tiers.map((tier) => tier.getCostMs()),
+    sumCostMsUpTo,
     estimateAheadMs(tier, account, deadlineAt) {
-      const higher = tiers.slice(0, tier).reduce((sum, each) => sum + each.getCostMs(), 0);
-      return higher + tiers[tier]!.estimateAheadMs(account, deadlineAt);
+      return sumCostMsUpTo(tier - 1) + tiers[tier]!.estimateAheadMs(account, deadlineAt);
     },
     clear() {
       const all = [...requests.values()];
--- a/packages/scheduling/src/retry-advice.ts
+++ b/packages/scheduling/src/retry-advice.ts
@@ -2,6 +2,7 @@
  * When a refused caller should come back. While much is refused, an early return would only be
  * refused again: callers come back as late as they can wait, spread over time.
  */
+import { mergeMean } from './moving-mean.js';
 
 /** Least advice, in milliseconds. */
 export const LEAST_RETRY_MS = 300;
@@ -26,10 +27,10 @@
   let refusedShare = 0;
   return {
     recordRefused() {
-      refusedShare += (1 - refusedShare) * REFUSED_STEP;
+      refusedShare = mergeMean(refusedShare, 1, REFUSED_STEP);
     },
     recordSent() {
-      refusedShare -= refusedShare * REFUSED_STEP;
+      refusedShare = mergeMean(refusedShare, 0, REFUSED_STEP);
     },
     drawMs(waitMs, leftMs) {
       const overload = Math.min(1, refusedShare / OVERLOAD_SHARE);
--- a/packages/scheduling/src/server-board.ts
+++ b/packages/scheduling/src/server-board.ts
@@ -4,6 +4,7 @@
  * whether it fails. Chooses the server on which a request is expected to finish first.
  */
 import { ServerState, type BackendServer } from '@masticbend/settings/routing';
+import { mergeMean } from './moving-mean.js';
 import {
   countHeld,
   createServerEntry,
@@ -131,6 +132,10 @@
     return entry.server.state === ServerState.Ready && entry.ejectedUntil <= now;
   }
 
+  function listUsable(now: number): ServerEntry[] {
+    return [...entries.values()].filter((entry) => isUsable(now, entry));
+  }
+
   function applyPeerLoads(entry: ServerEntry): void {
     entry.peerRunning.clear();
     for (const [peer, load] of peerLoads) {
@@ -169,17 +174,15 @@
         if (server.service === service && isUsable(now, entry) && !excluded.has(server.id)) {
           usable += 1;
           const load = findLoad(server.id);
-          const waitMs = load && chooseWait(load, query.lateRank);
-          leastWaitMs = Math.min(leastWaitMs ?? Infinity, waitMs ?? Infinity);
+          if (load) {
+            const waitMs = chooseWait(load, query.lateRank);
+            leastWaitMs = Math.min(leastWaitMs ?? waitMs, waitMs);
+          }
           const candidate = describeCandidate(entry, query, load, dataCentre);
           if (candidate && (!best || isBetter(candidate, best))) best = candidate;
         }
       }
-      if (!best) {
-        return usable > 0
-          ? { kind: 'full', waitMs: leastWaitMs === Infinity ? undefined : leastWaitMs }
-          : { kind: 'none' };
-      }
+      if (!best) return usable > 0 ? { kind: 'full', waitMs: leastWaitMs } : { kind: 'none' };
       return { kind: 'server', ...best };
     },
     addRun(entry, work) {
@@ -194,25 +197,25 @@
       entry.readingTokens = Math.max(0, entry.readingTokens - work.promptTokens);
     },
     recordFirst(entry, thousands, elapsedMs) {
-      entry.readingMs = mergeEstimate(entry.readingMs, elapsedMs / thousands, READING_STEP);
+      entry.readingMs = mergeMean(entry.readingMs, elapsedMs / thousands, READING_STEP);
     },
     recordPace(entry, intervalMs) {
-      entry.paceMs = mergeEstimate(entry.paceMs, intervalMs, PACE_STEP);
+      entry.paceMs = mergeMean(entry.paceMs, intervalMs, PACE_STEP);
     },
     recordWork(entry, elapsedMs) {
-      entry.workMs = mergeEstimate(entry.workMs, elapsedMs, PACE_STEP);
+      entry.workMs = mergeMean(entry.workMs, elapsedMs, PACE_STEP);
     },
     recordSuccess(entry) {
       entry.failuresInRow = 0;
-      entry.failureShare += (0 - entry.failureShare) * FAILURE_STEP;
+      entry.failureShare = mergeMean(entry.failureShare, 0, FAILURE_STEP);
     },
     recordFailure(entry) {
       entry.failuresInRow = 0;
-      entry.failureShare += (1 - entry.failureShare) * FAILURE_STEP;
+      entry.failureShare = mergeMean(entry.failureShare, 1, FAILURE_STEP);
     },
     recordSilence(now, entry) {
       entry.failuresInRow += 1;
-      entry.failureShare += (1 - entry.failureShare) * FAILURE_STEP;
+      entry.failureShare = mergeMean(entry.failureShare, 1, FAILURE_STEP);
       const beyond = entry.failuresInRow - EJECTION_FAILURES;
       if (beyond < 0) return false;
       entry.ejectedUntil = now + Math.min(LONGEST_EJECTION_MS, EJECTION_MS * 2 ** beyond);
@@ -238,12 +241,11 @@
     estimateHoldMs: (service, work) =>
       computeMean(service, (entry) => estimateFinishMs(entry, work, countHeld(entry))),
     countPlaces(now, service) {
-      const usable = [...entries.values()].filter((entry) => isUsable(now, entry));
-      const listed = usable.filter(({ server }) => server.service === service);
+      const listed = listUsable(now).filter(({ server }) => server.service === service);
       return listed.reduce((sum, { server }) => sum + server.slots, 0);
     },
     listServers: () => [...entries.values()],
-    countUsable: (now) => [...entries.values()].filter((entry) => isUsable(now, entry)).length,
+    countUsable: (now) => listUsable(now).length,
   };
 }
 
@@ -262,9 +264,9 @@
   const held = load?.held ?? countHeld(entry);
   if (!load && held >= slots + AHEAD) return undefined;
   const firstMs = estimateFirstMs(entry, work);
-  const onTime = (load ? chooseWait(load, query.rank) : 0) + firstMs <= onTimeMs;
+  const onTime = chooseWait(load, query.rank) + firstMs <= onTimeMs;
   const rank = onTime || isTooLarge(entry, query) ? query.rank : query.lateRank;
-  const expectedWaitMs = load ? chooseWait(load, rank) : 0;
+  const expectedWaitMs = chooseWait(load, rank);
   if (!onTime && expectedWaitMs > lateWaitMs) return undefined;
   const finishMs = estimateFinishMs(entry, work, held) + expectedWaitMs;
   const free = expectedWaitMs === 0;
@@ -287,10 +289,7 @@
   return candidate.cost < best.cost;
 }
 
-function chooseWait({ waitsMs }: AgentLoad, rank: number): number {
-  return waitsMs[Math.min(rank, waitsMs.length - 1)] ?? 0;
-}
-
-function mergeEstimate(known: number | undefined, observed: number, step: number): number {
-  return known === undefined ? observed : known + (observed - known) * step;
+/** A server without an agent is only a candidate while it has a place. */
+function chooseWait(load: AgentLoad | undefined, rank: number): number {
+  return load?.waitsMs[Math.min(rank, load.waitsMs.length - 1)] ?? 0;
 }
--- a/packages/scheduling/src/server-list.ts
+++ b/packages/scheduling/src/server-list.ts
@@ -52,15 +52,16 @@
   }
 
   function remove(now: number, id: string): ServerChange[] {
+    if (now >= graceEndsAt || !servers.has(id)) return drop(id);
+    if (!missing.has(id)) missing.set(id, graceEndsAt);
+    return [];
+  }
+
+  function drop(id: string): ServerChange[] {
     const server = servers.get(id);
-    if (!server) return [];
-    if (now < graceEndsAt) {
-      if (!missing.has(id)) missing.set(id, graceEndsAt);
-      return [];
-    }
     servers.delete(id);
     missing.delete(id);
-    return [{ server, change: 'gone' }];
+    return server ? [{ server, change: 'gone' }] : [];
   }
 
   return {
@@ -76,12 +77,7 @@
     },
     expire(now) {
       const due = [...missing].filter(([, goneAt]) => goneAt <= now).map(([id]) => id);
-      return due.flatMap((id) => {
-        const server = servers.get(id)!;
-        servers.delete(id);
-        missing.delete(id);
-        return [{ server, change: 'gone' } as const];
-      });
+      return due.flatMap(drop);
     },
     findNextExpiry: () => (missing.size > 0 ? Math.min(...missing.values()) : undefined),
     list: () => selectNewest([...servers.values()]),
--- a/packages/scheduling/src/waiting-line.ts
+++ b/packages/scheduling/src/waiting-line.ts
@@ -64,11 +64,7 @@
   function estimateWaitMs(service: string, rank: number, places: number): number {
     const queue = queues.get(service);
     if (!queue) return 0;
-    const aheadMs = queue
-      .sumCostMsByTier()
-      .slice(0, rank + 1)
-      .reduce((sum, costMs) => sum + costMs, 0);
-    return aheadMs / Math.max(1, places);
+    return queue.sumCostMsUpTo(rank) / Math.max(1, places);
   }
 
   return {
@@ -91,10 +87,9 @@
     expire(now) {
       const expired: string[] = [];
       for (const queue of queues.values()) {
-        for (let late = queue.getMostUrgent(); late && late.startBy <= now;) {
+        for (let late = queue.findExpired(now); late; late = queue.findExpired(now)) {
           queue.remove(late.request);
           expired.push(late.request);
-          late = queue.getMostUrgent();
         }
       }
       return expired;
--- a/packages/settings/src/routing.ts
+++ b/packages/settings/src/routing.ts
@@ -88,6 +88,14 @@
   idleMs: number;
 }
 
+/** Bounds where a configuration gives none, and before one is known; the platform's examples. */
+export const DEFAULT_CALLER_LIMITS: CallerLimits = {
+  headerBytes: 16_384,
+  bodyBytes: 4_194_304,
+  headerMs: 3_000,
+  idleMs: 15_000,
+};
+
 /** One version of the routing configuration. */
 export interface RoutingConfiguration {
   version: number;
