--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -68,6 +68,24 @@
       'no-await-in-loop': 'off',
     },
   },
+  {
+    // The wall clock may step; only the kernel's clock reads it, to detect suspension.
+    files: ['packages/{gateway,scheduling}/src/**', 'platform/src/**'],
+    rules: {
+      'no-restricted-properties': [
+        'error',
+        { object: 'Date', property: 'now', message: 'use the monotonic clock' },
+        { property: 'readWallTime', message: 'use the monotonic clock' },
+      ],
+      'no-restricted-syntax': [
+        'error',
+        'ForInStatement',
+        'WithStatement',
+        'TSEnumDeclaration',
+        { selector: "NewExpression[callee.name='Date']", message: 'use the monotonic clock' },
+      ],
+    },
+  },
   {
     files: ['**/test/**', 'scripts/**', 'packages/bench/src/**'],
     rules: { 'no-console': 'off', '@typescript-eslint/no-unused-expressions': 'off' },
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -11,9 +11,10 @@
   isEncoded,
   isNotRun,
   isSigned,
+  readServerNotice,
   type HeaderMap,
 } from '@masticbend/platform/ingress';
-import type { BackendServer } from '@masticbend/settings/routing';
+import type { BackendServer, ServerNotice } from '@masticbend/settings/routing';
 import type { BackendClient, Exchange, ExchangeRequest } from './backend-client.js';
 import type { Delivery } from './delivery.js';
 import { createEventSplitter } from './event-splitter.js';
@@ -54,6 +55,8 @@
 /** Events of an attempt. */
 export interface AttemptEvents {
   onSent: () => void;
+  /** What the server says about itself in any answer, before the answer is checked. */
+  onNotice: (notice: ServerNotice) => void;
   /** First byte of the answer, or first event of a stream; the time is counted from `onSent`. */
   onFirstOutput: (elapsedMs: number) => void;
   /** Mean time per event since the previous complete events. */
@@ -118,6 +121,7 @@
 
   function handleHead(status: number, headers: HeaderMap): void {
     startInactivityTimer();
+    events.onNotice(readServerNotice(status, headers));
     if (!isAnswerTo(request.requestId, headers)) failAttempt('answer to another request');
     else if (isNotRun(status, headers)) finish({ kind: 'not-run', status });
     else if (status < 300 && !isSigned(headers)) failAttempt('answer without a signature');
--- a/packages/gateway/src/dispatch.ts
+++ b/packages/gateway/src/dispatch.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '@masticbend/kernel/clock';
 import type { ServerPool } from '@masticbend/scheduling/server-pool';
 import type { ServerEntry } from '@masticbend/scheduling/server-entry';
+import type { ServerNotice } from '@masticbend/settings/routing';
 import { startAttempt, type AttemptResult } from './attempt.js';
 import type { BackendClient } from './backend-client.js';
 import type { PermitClient } from './permit-client.js';
@@ -17,6 +18,8 @@
   client: BackendClient;
   serverPool: ServerPool;
   permits: Pick<PermitClient, 'release' | 'addRunning'>;
+  /** Called with what a backend server says about itself in an answer. */
+  onNotice: (entry: ServerEntry, notice: ServerNotice) => void;
   /** Called when an attempt at a backend server has ended; its slot is free again. */
   onResult: (state: RequestState, entry: ServerEntry, result: AttemptResult) => void;
 }
@@ -26,7 +29,7 @@
 
 /** Returns a function that starts attempts. */
 export function createDispatch(options: DispatchOptions): Dispatch {
-  const { clock, client, serverPool, permits, onResult } = options;
+  const { clock, client, serverPool, permits, onNotice, onResult } = options;
 
   /** Occupies a slot of the server until `state.releaseSlot` is called. */
   function takeSlot(state: RequestState, entry: ServerEntry) {
@@ -72,6 +75,7 @@
           state.sentCount += 1;
           state.firstSentAt ??= clock.now();
         },
+        onNotice: (notice) => onNotice(entry, notice),
         onFirstOutput(elapsedMs) {
           finishPrefill();
           state.firstByteAt ??= clock.now();
--- a/packages/gateway/src/explain.ts
+++ b/packages/gateway/src/explain.ts
@@ -12,6 +12,8 @@
 const PROCESS_EVENTS: ReadonlySet<string> = new Set([
   LogEvent.PlatformUnavailable,
   LogEvent.PlatformRestored,
+  LogEvent.StoreRestored,
+  LogEvent.ClockStepped,
   LogEvent.KeysStale,
   LogEvent.KeysFresh,
   LogEvent.ConfigurationApplied,
@@ -28,7 +30,7 @@
 
 /** Returns the lines that explain a request, oldest first; none when no line has the id. */
 export function describeRequest(id: string, logTexts: readonly string[]): string[] {
-  const lines = logTexts.flatMap((text) => text.split('\n').map(parseLine)).filter(hasTime);
+  const lines = logTexts.flatMap(readLines);
   const requestLines = lines.filter(({ fields }) => fields.request === id);
   if (requestLines.length === 0) return [];
   const servers = new Set(requestLines.map(({ fields }) => fields.server ?? ''));
@@ -66,6 +68,21 @@
   return { text, timeMs: Date.parse(fields.time ?? ''), fields };
 }
 
+/**
+ * Returns the lines of one log with their times. Where the wall clock of a process stepped back,
+ * its lines get the latest earlier time, so that they keep their order.
+ */
+function readLines(text: string): LogLine[] {
+  const latestMs = new Map<string, number>();
+  const lines = text.split('\n').map(parseLine).filter(hasTime);
+  for (const line of lines) {
+    const { process: name = '' } = line.fields;
+    line.timeMs = Math.max(line.timeMs, latestMs.get(name) ?? 0);
+    latestMs.set(name, line.timeMs);
+  }
+  return lines;
+}
+
 function hasTime({ timeMs }: LogLine): boolean {
   return Number.isFinite(timeMs);
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,8 +12,9 @@
 import { createKernel, type Kernel, type Lifecycle } from '@masticbend/kernel/kernel';
 import { createLogger, LogEvent, type Logger } from '@masticbend/kernel/log';
 import { createMetrics, Metric } from '@masticbend/kernel/metrics';
-import { createStore, type Store } from '@masticbend/platform/store';
+import { createStore } from '@masticbend/platform/store';
 import { createRepeatBudget } from '@masticbend/scheduling/repeat-budget';
+import { listNotices } from '@masticbend/scheduling/server-notice';
 import { createServerPool } from '@masticbend/scheduling/server-pool';
 import { createSharedLimits } from '@masticbend/scheduling/shared-limit';
 import { createRequestQueue } from '@masticbend/scheduling/request-queue';
@@ -26,9 +27,11 @@
 import { createPeerMesh, type PeerMesh } from './peer-mesh.js';
 import { createPermitClient, type PermitClient } from './permit-client.js';
 import { createRequests, type Requests } from './requests.js';
+import { createServerNotices, type ServerNotices } from './server-notices.js';
 import { createServersService } from './servers-service.js';
 import type { GatewayServices } from './services.js';
 import type { GatewaySettings } from './settings.js';
+import { createEraStore, type EraStore } from './store-era.js';
 import { createViewService } from './view-service.js';
 
 /** Time after SIGTERM within which the load balancer reliably detects that the entry stops. */
@@ -54,8 +57,13 @@
   const incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
   const log = createLogger({ process: settings.instance, life: incarnation }, settings.logLevel);
   const clock = createSystemClock();
-  const getElapsed = createElapsedTime(clock);
   const kernel = createKernel<GatewayServices>();
+  const getElapsed = createElapsedTime(clock, (stepMs) => {
+    log.warn(LogEvent.ClockStepped, { stepMs: Math.round(stepMs) });
+    kernel.find('view').refresh();
+    kernel.find('servers').refresh();
+    kernel.find('members').refresh();
+  });
   const state = { stopping: false };
 
   kernel.provide('clock', () => clock);
@@ -67,6 +75,7 @@
   kernel.provide('limits', createSharedLimits);
   kernel.provide('view', () => createViewService(kernel, settings, getElapsed));
   kernel.provide('servers', () => createServersService(kernel, settings, getElapsed));
+  kernel.provide('notices', () => createNoticesService(kernel));
   kernel.provide('requests', () => createRequestsService(kernel, settings));
   kernel.provide('permits', () => createPermitsService(kernel, settings));
   kernel.provide('members', () => createMembersService(kernel, settings, incarnation, getElapsed));
@@ -115,9 +124,14 @@
   } while (requests.countOpen() > 0 && clock.now() < stopAt);
 }
 
-function createStoreService(kernel: Kernel<GatewayServices>, address: string): Store & Lifecycle {
+function createStoreService(
+  kernel: Kernel<GatewayServices>,
+  address: string,
+): EraStore & Lifecycle {
   const clock = kernel.find('clock');
-  const store = createMeasuredStore(createStore(address), clock, kernel.find('metrics'));
+  const store = createEraStore(
+    createMeasuredStore(createStore(address), clock, kernel.find('metrics')),
+  );
   return { ...store, stop: store.close };
 }
 
@@ -149,6 +163,7 @@
     getView: view.getView,
     areKeysFresh: view.areKeysFresh,
     countInstances: () => kernel.find('members').listOthers().length + 1,
+    onNotice: (entry, notice) => kernel.find('notices').handleAnswer(entry, notice),
     recordAttempt: (server, result) =>
       metrics.addCount(Metric.AttemptsTotal, { server, result }, 1),
     recordOutcome({ tier, account, outcome, waitMs, firstByteMs, totalMs }) {
@@ -162,6 +177,15 @@
   });
 }
 
+function createNoticesService(kernel: Kernel<GatewayServices>): ServerNotices {
+  return createServerNotices({
+    clock: kernel.find('clock'),
+    log: kernel.find('log'),
+    serverPool: kernel.find('board'),
+    reportLeaving: (server) => kernel.find('permits').reportLeaving(server),
+  });
+}
+
 function createPermitsService(
   kernel: Kernel<GatewayServices>,
   { instance, meshAddress }: GatewaySettings,
@@ -176,6 +200,7 @@
     events: {
       onPermit: (server, request) => agentEvents().onPermit(server, request),
       onRefusal: (server, request, waitMs) => agentEvents().onRefusal(server, request, waitMs),
+      onLeaving: (server) => kernel.find('notices').handleAgent(server),
       onLost: (server, request) => agentEvents().onLost(server, request),
     },
   });
@@ -194,6 +219,7 @@
     clock: kernel.find('clock'),
     getElapsed,
     log: kernel.find('log'),
+    drawRandom: Math.random,
     onChange: () => kernel.find('mesh').setMembers(members.listOthers()),
   });
   return members;
@@ -210,6 +236,7 @@
   const limits = kernel.find('limits');
   const members = kernel.find('members');
   const permits = kernel.find('permits');
+  const view = kernel.find('view');
   let share = 0;
   kernel.find('metrics').registerGauge(Metric.LimitShare, () => share);
 
@@ -239,8 +266,12 @@
     describeState: () => ({
       running: serverPool.listRunning(permits.findLoad),
       admitted: limits.listAdmitted(),
+      version: view.getView()?.configuration.version ?? 0,
+      notices: listNotices(clock.now(), serverPool.listServers()),
     }),
-    onReport(peer, { running, admitted }) {
+    onReport(peer, { running, admitted, version, notices }) {
+      view.recordPeerVersion(version);
+      for (const notice of notices) kernel.find('notices').handlePeer(peer, notice);
       serverPool.setPeerLoad(peer, running);
       for (const [name, units] of admitted) limits.recordPeerAdmitted(clock.now(), name, units);
       kernel.find('requests').sendWaiting();
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -4,16 +4,18 @@
  * member. An entry that failed to renew its row in time must not admit requests by shared limits,
  * since the other entries may have taken over its share.
  */
-import { waitFor, type Clock } from '@masticbend/kernel/clock';
+import { startPause, type Clock } from '@masticbend/kernel/clock';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import { parseJson, readFields, readText } from '@masticbend/platform/decode';
-import type { Store } from '@masticbend/platform/store';
 import { isAddress } from '@masticbend/settings/address';
+import type { EraStore } from './store-era.js';
 
 /** Table of the entries; the key is the instance name. */
 const MEMBERS_TABLE = 'entries';
 /** Interval at which the row is renewed and the table is read. */
 const RENEWAL_INTERVAL_MS = 2_500;
+/** Delay of the renewal after a restoration of the store: a random part of this time. */
+const REWRITE_SPREAD_MS = 500;
 /** Delay after a failed renewal or read. */
 const RETRY_DELAY_MS = 300;
 /** Age of its last renewal from which an entry considers its own lease expired. */
@@ -35,6 +37,8 @@
 export interface Members {
   start: () => void;
   stop: () => void;
+  /** Renews the row and reads the table now, unless that is in progress. */
+  refresh: () => void;
   /** Other entries whose lease has not expired. */
   listOthers: () => Member[];
   /** Returns whether this entry's own lease is valid and the other entries are known. */
@@ -43,13 +47,14 @@
 
 /** Dependencies of the membership. */
 export interface MembersOptions {
-  store: Pick<Store, 'readRows' | 'writeRow'>;
+  store: Pick<EraStore, 'readRows' | 'writeRow' | 'onRestored'>;
   self: Member;
   incarnation: string;
   clock: Clock;
   /** Elapsed milliseconds, including time in which the machine was suspended. */
   getElapsed: () => number;
   log: Logger;
+  drawRandom: () => number;
   onChange: () => void;
 }
 
@@ -60,13 +65,16 @@
 
 /** Returns a membership whose row has not been written yet. */
 export function createMembers(options: MembersOptions): Members {
-  const { store, self, incarnation, clock, getElapsed, log, onChange } = options;
+  const { store, self, incarnation, clock, getElapsed, log, drawRandom, onChange } = options;
   const knownMembers = new Map<string, KnownMember>();
   let renewedAt: number | undefined;
   /**
    * Set once the table was read after the own row was written: all other members are then known.
    */
   let areOthersKnown = false;
+  /** The store was restored since the last read; rows may have changed without a renewal. */
+  let isRestored = false;
+  let wake = () => {};
   let stopped = false;
 
   async function refreshLease(): Promise<boolean> {
@@ -81,10 +89,11 @@
   async function refreshMembers(): Promise<boolean> {
     const result = await store.readRows(MEMBERS_TABLE);
     if (result.kind !== 'rows') return false;
-    const now = getElapsed();
+    const now = clock.now();
     for (const { key, value, revision } of result.rows.rows) {
       if (key !== self.instance) updateMember(key, readAddress(value), revision, now);
     }
+    isRestored = false;
     dropExpired(now);
     areOthersKnown ||= renewedAt !== undefined;
     return true;
@@ -98,7 +107,8 @@
   ): void {
     const member = knownMembers.get(instance);
     if (address === undefined || member?.revision === revision) return;
-    knownMembers.set(instance, { instance, address, revision, renewedAt: now });
+    const seenAt = isRestored && member ? member.renewedAt : now;
+    knownMembers.set(instance, { instance, address, revision, renewedAt: seenAt });
     if (member?.address === address) return;
     log.info(LogEvent.MemberChanged, { peer: instance, address, change: 'seen', revision });
     onChange();
@@ -119,10 +129,18 @@
     while (!stopped) {
       const renewed = await refreshLease();
       const refreshed = await refreshMembers();
-      await waitFor(clock, renewed && refreshed ? chooseDelayMs() : RETRY_DELAY_MS);
+      const pause = startPause(clock, renewed && refreshed ? chooseDelayMs() : RETRY_DELAY_MS);
+      wake = pause.end;
+      await pause.ended;
     }
   }
 
+  /** Writes the own row again, which a restored store may have lost, spread in time. */
+  function handleRestoration(): void {
+    isRestored = true;
+    clock.startTimer(drawRandom() * REWRITE_SPREAD_MS, () => wake());
+  }
+
   /**
    * Uses the short delay until another entry is known, so that entries that start together find
    * each other soon.
@@ -133,6 +151,7 @@
 
   return {
     start() {
+      store.onRestored(handleRestoration);
       run().catch((error: Error) => {
         log.error(LogEvent.ProcessFailed, { service: 'members', error: error.message });
         throw error;
@@ -141,6 +160,7 @@
     stop() {
       stopped = true;
     },
+    refresh: () => wake(),
     listOthers: () =>
       [...knownMembers.values()].map(({ instance, address }) => ({ instance, address })),
     isLeaseHeld: () =>
--- a/packages/gateway/src/peer-mesh.ts
+++ b/packages/gateway/src/peer-mesh.ts
@@ -8,6 +8,7 @@
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import { createConnection, type Connection } from '@masticbend/protocol/connection';
 import type { PeerReportMessage } from '@masticbend/protocol/gateway-message';
+import type { SharedNotice } from '@masticbend/scheduling/server-notice';
 import { parseAddress } from '@masticbend/settings/address';
 import type { Member } from './members.js';
 import { dialSocket, startServer } from './network.js';
@@ -34,6 +35,19 @@
   running: ReadonlyMap<string, number>;
   /** Units admitted since its last report, by account; negative after refunds. */
   admitted: ReadonlyMap<string, number>;
+  /** Version of the configuration in force there; 0 for none. */
+  version: number;
+  /** Notices of backend servers that the peer received. */
+  notices: readonly SharedNotice[];
+}
+
+/** State that an entry reports to its peers. */
+export interface OwnState {
+  running: ReadonlyMap<string, number>;
+  /** Total admitted units by account. */
+  admitted: ReadonlyMap<string, number>;
+  version: number;
+  notices: readonly SharedNotice[];
 }
 
 /** Connections of one entry to its peers. */
@@ -50,11 +64,7 @@
   incarnation: string;
   clock: Clock;
   log: Logger;
-  /** Returns the state that this entry reports: running requests and total admitted units. */
-  describeState: () => {
-    running: ReadonlyMap<string, number>;
-    admitted: ReadonlyMap<string, number>;
-  };
+  describeState: () => OwnState;
   onReport: (peer: string, report: PeerReport) => void;
   /** The peer is no longer live or connected; its last reports are no longer valid. */
   onLost: (peer: string) => void;
@@ -85,7 +95,8 @@
   let lastSentAt = 0;
   /** Total admitted units in this entry's last report. */
   let reportedUnits = new Map<string, number>();
-  let reportedRunning = '';
+  /** The other fields of the last report, for comparison. */
+  let reportedState = '';
 
   function openConnection(socket: Socket): void {
     let peer: Peer | undefined;
@@ -102,7 +113,7 @@
       },
     });
     connection.send({ kind: 'peer-hello', instance: self.instance, incarnation });
-    connection.send(createReport(describeState().running, reportedUnits));
+    connection.send(createReport({ ...describeState(), admitted: reportedUnits }));
   }
 
   function addPeer(instance: string, peerIncarnation: string, connection: Connection): Peer {
@@ -145,21 +156,13 @@
     peer.units = units;
     lastUnits.set(peer.instance, { incarnation: peer.incarnation, units });
     const running = new Map(message.servers.map((id, index) => [id, message.running[index] ?? 0]));
-    onReport(peer.instance, { running, admitted });
-  }
-
-  /** Builds a report of the running requests and of total admitted units. */
-  function createReport(
-    running: ReadonlyMap<string, number>,
-    units: ReadonlyMap<string, number>,
-  ): PeerReportMessage {
-    return {
-      kind: 'peer-report',
-      servers: [...running.keys()],
-      running: [...running.values()],
-      accounts: [...units.keys()],
-      units: [...units.values()],
-    };
+    const notices = message.noticeServers.map((id, index) => ({
+      server: id,
+      bornAt: message.noticeBornAt[index] ?? 0,
+      isLeaving: message.noticeLeaving[index] ?? false,
+      pauseMs: message.noticePauseMs[index] ?? 0,
+    }));
+    onReport(peer.instance, { running, admitted, version: message.version, notices });
   }
 
   function dialMissingPeers(now: number): void {
@@ -187,14 +190,16 @@
   function sendReports(now: number): void {
     const elapsedMs = now - lastSentAt;
     if (peers.size === 0 || elapsedMs < REPORT_INTERVAL_MS + peers.size * PEER_INTERVAL_MS) return;
-    const { running, admitted } = describeState();
+    const state = describeState();
+    const { admitted } = state;
     const changed = [...admitted].filter(([name, units]) => units !== reportedUnits.get(name));
-    const report = createReport(running, new Map(changed));
-    const runningText = report.servers.join() + report.running.join();
-    const isUnchanged = changed.length === 0 && runningText === reportedRunning;
+    const report = createReport({ ...state, admitted: new Map(changed) });
+    const { servers, running, version, noticeServers, noticeLeaving } = report;
+    const stateText = [version, servers, running, noticeServers, noticeLeaving].join(';');
+    const isUnchanged = changed.length === 0 && stateText === reportedState;
     if (isUnchanged && elapsedMs < IDLE_REPORT_INTERVAL_MS) return;
     reportedUnits = new Map(admitted);
-    reportedRunning = runningText;
+    reportedState = stateText;
     lastSentAt = now;
     for (const { connection } of peers.values()) connection.send(report);
   }
@@ -232,3 +237,18 @@
     }),
   };
 }
+
+function createReport({ running, admitted, version, notices }: OwnState): PeerReportMessage {
+  return {
+    kind: 'peer-report',
+    servers: [...running.keys()],
+    running: [...running.values()],
+    accounts: [...admitted.keys()],
+    units: [...admitted.values()],
+    version,
+    noticeServers: notices.map(({ server }) => server),
+    noticeBornAt: notices.map(({ bornAt }) => bornAt),
+    noticeLeaving: notices.map(({ isLeaving }) => isLeaving),
+    noticePauseMs: notices.map(({ pauseMs }) => Math.round(pauseMs)),
+  };
+}
--- a/packages/gateway/src/permit-client.ts
+++ b/packages/gateway/src/permit-client.ts
@@ -28,7 +28,9 @@
 export interface PermitEvents {
   onPermit: (server: string, request: string) => void;
   onRefusal: (server: string, request: string, waitMs: number) => void;
-  /** The connection to the agent closed or timed out; the permit request was dropped. */
+  /** The agent reports that its server is leaving. */
+  onLeaving: (server: string) => void;
+  /** The permit request was dropped: its agent is lost, or its server is leaving. */
   onLost: (server: string, request: string) => void;
 }
 
@@ -40,6 +42,8 @@
   requestPermit: (server: string, permitRequest: Omit<PermitRequestMessage, 'kind'>) => void;
   /** Withdraws a permit request, or returns the permit of a request that has ended. */
   release: (server: string, request: string) => void;
+  /** Tells the agent of a server that the server is leaving. */
+  reportLeaving: (server: string) => void;
   /** Registers a request as running at a server, with or without a permit, until `release`. */
   addRunning: (server: string, request: string) => void;
   start: () => void;
@@ -63,6 +67,8 @@
   lastDialAt: number;
   lastReportAt: number;
   usable: boolean;
+  /** The server is known to be leaving. */
+  isLeaving: boolean;
   load: AgentLoad;
   pendingRequests: Set<string>;
   running: Set<string>;
@@ -104,6 +110,8 @@
       kind: 'permit-hello',
       instance,
       server: link.server.id,
+      bornAt: link.server.bornAt,
+      leaving: link.isLeaving,
       slots: link.server.slots,
       running: [...link.running],
     });
@@ -117,8 +125,13 @@
 
   function receiveRefusal(link: AgentLink, message: PermitRefusalMessage): void {
     receiveLoad(link, message);
+    if (message.leaving && !link.isLeaving) {
+      link.isLeaving = true;
+      events.onLeaving(link.server.id);
+    }
     if (!link.pendingRequests.delete(message.request)) return;
-    events.onRefusal(link.server.id, message.request, message.waitMs);
+    if (message.leaving) events.onLost(link.server.id, message.request);
+    else events.onRefusal(link.server.id, message.request, message.waitMs);
   }
 
   function receiveLoad(link: AgentLink, { held, waitsMs }: AgentLoad): void {
@@ -181,9 +194,11 @@
       }
       for (const server of servers) {
         const link = links.get(server.id);
-        if (link?.server.address === server.address) link.server = server;
+        const isSame =
+          link?.server.address === server.address && link.server.bornAt === server.bornAt;
+        if (isSame) link.server = server;
         else {
-          link?.connection?.close('address changed');
+          link?.connection?.close('server was replaced');
           links.set(server.id, createLink(server));
         }
       }
@@ -207,6 +222,12 @@
       const wasKnown = link.pendingRequests.delete(request) || link.running.delete(request);
       if (wasKnown) link.connection?.send({ kind: 'permit-release', request });
     },
+    reportLeaving(server) {
+      const link = links.get(server);
+      if (!link || link.isLeaving) return;
+      link.isLeaving = true;
+      link.connection?.send({ kind: 'permit-leaving', bornAt: link.server.bornAt });
+    },
     addRunning(server, request) {
       links.get(server)?.running.add(request);
     },
@@ -226,6 +247,7 @@
     lastDialAt: -Infinity,
     lastReportAt: 0,
     usable: false,
+    isLeaving: false,
     load: { held: 0, waitsMs: [0] },
     pendingRequests: new Set(),
     running: new Set(),
--- a/packages/gateway/src/permit-server.ts
+++ b/packages/gateway/src/permit-server.ts
@@ -8,6 +8,7 @@
 import { renderGauge } from '@masticbend/kernel/gauge';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import { createConnection, type Connection } from '@masticbend/protocol/connection';
+import type { PermitHelloMessage } from '@masticbend/protocol/gateway-message';
 import type { Message } from '@masticbend/protocol/message';
 import { createPermitQueue, type PermitAnswer } from '@masticbend/scheduling/permit-queue';
 import type { AgentLoad } from '@masticbend/scheduling/server-pool';
@@ -39,6 +40,8 @@
 export function createPermitServer({ address, clock, log }: PermitServerOptions): PermitServer {
   const queue = createPermitQueue();
   const owners = new Map<string, Connection>();
+  /** The newest incarnation of the backend server that an entry reported. */
+  const backend = { bornAt: 0, isLeaving: false };
   let server: Server | undefined;
   let stopExpiryTimer: (() => void) | undefined;
   let stopReportTimer = () => {};
@@ -49,7 +52,7 @@
       onMessage(message) {
         if (message.kind === 'permit-hello') {
           owner = message.instance;
-          addOwner(owner, connection, message.slots, message.running);
+          addOwner(owner, connection, message);
         } else if (owner !== undefined) {
           sendAnswers(handleMessage(owner, message));
         }
@@ -66,8 +69,7 @@
   function addOwner(
     owner: string,
     connection: Connection,
-    slots: number,
-    running: readonly string[],
+    { bornAt, leaving, slots, running }: PermitHelloMessage,
   ): void {
     const previous = owners.get(owner);
     owners.set(owner, connection);
@@ -79,11 +81,29 @@
     log.info(LogEvent.ConnectionOpened, { peer: owner, slots, running: running.length });
     sendAnswers(answers);
     connection.send(createReport());
+    recordIncarnation(bornAt, leaving);
+  }
+
+  /** Refuses what waits for a backend server that leaves; a later incarnation starts afresh. */
+  function recordIncarnation(bornAt: number, isLeaving: boolean): void {
+    if (bornAt < backend.bornAt) return;
+    const wasLeaving = backend.isLeaving && bornAt === backend.bornAt;
+    backend.bornAt = bornAt;
+    backend.isLeaving = wasLeaving || isLeaving;
+    if (!backend.isLeaving || wasLeaving) return;
+    const answers = queue.clear();
+    log.info(LogEvent.LeavingChanged, { born: bornAt, leaving: true, refused: answers.length });
+    sendAnswers(answers);
   }
 
   function handleMessage(owner: string, message: Message): PermitAnswer[] {
     const now = clock.now();
+    if (message.kind === 'permit-leaving') {
+      recordIncarnation(message.bornAt, true);
+      return [];
+    }
     if (message.kind === 'permit-request') {
+      if (backend.isLeaving) return [{ owner, request: message.request, refusedWaitMs: 0 }];
       const answers = queue.request(now, owner, message);
       scheduleExpiry();
       return answers;
@@ -99,7 +119,13 @@
       const message: Message =
         refusedWaitMs === undefined
           ? { kind: 'permit', request, ...load }
-          : { kind: 'permit-refusal', request, ...load, waitMs: refusedWaitMs };
+          : {
+              kind: 'permit-refusal',
+              request,
+              ...load,
+              waitMs: refusedWaitMs,
+              leaving: backend.isLeaving,
+            };
       owners.get(owner)?.send(message);
       log.debug(LogEvent.PermitAnswered, { request, owner, refusedWaitMs, held: load.held });
     }
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -11,7 +11,7 @@
   ServerPool,
   ServerChoice,
 } from '@masticbend/scheduling/server-pool';
-import type { ServerEntry } from '@masticbend/scheduling/server-entry';
+import { isUsable, type ServerEntry } from '@masticbend/scheduling/server-entry';
 import type { RequestQueue } from '@masticbend/scheduling/request-queue';
 import { OUTAGE_RETRY_AFTER_MS } from './access.js';
 import type { PermitClient, PermitEvents } from './permit-client.js';
@@ -56,7 +56,7 @@
   sendWaiting: (service: string) => void;
   sendAllWaiting: () => void;
   /** Handlers of the agents' answers. */
-  agentEvents: PermitEvents;
+  agentEvents: Omit<PermitEvents, 'onLeaving'>;
   stop: () => void;
 }
 
@@ -74,6 +74,8 @@
       sendPermitRequests(state, choice, choice.load);
     } else if (choice.kind === 'none') {
       refuse(state, createFailure(state));
+    } else if (choice.kind === 'paused' && choice.waitMs > computeMaxWaitMs(state)) {
+      refuse(state, createPauseFailure(state, choice.waitMs));
     } else if (choice.kind === 'full' && choice.waitMs !== undefined) {
       refuse(state, createOverloadFailure(state, choice.waitMs));
     } else if (choice.kind === 'server' && requestQueue.count(service) === 0) {
@@ -101,6 +103,11 @@
     });
   }
 
+  function computeMaxWaitMs(state: RequestState): number {
+    const now = clock.now();
+    return Math.max(computeOnTimeLeftMs(now, state), computeMaxLateWaitMs(now, state));
+  }
+
   /** Returns the failure of a request that cannot be placed. */
   function createFailure(state: RequestState): Failure {
     if (state.minRefusedWaitMs === undefined) {
@@ -113,6 +120,12 @@
     return { kind: ErrorKind.Overloaded, retryAfterMs: drawRetryMs(state, waitMs) };
   }
 
+  /** No earlier return can succeed than at the end of the first pause. */
+  function createPauseFailure(state: RequestState, waitMs: number): Failure {
+    const retryAfterMs = Math.max(waitMs, drawRetryMs(state, waitMs));
+    return { kind: ErrorKind.Overloaded, retryAfterMs };
+  }
+
   function addToQueue(state: RequestState): void {
     const now = clock.now();
     const { service, work } = state;
@@ -179,6 +192,11 @@
       permits.release(serverId, id);
       return;
     }
+    if (!isUsable(clock.now(), entry)) {
+      permits.release(serverId, id);
+      if (state.pendingServers.size === 0) place(state);
+      return;
+    }
     releasePermitRequests(state);
     const held = permits.findLoad(serverId)?.held ?? 0;
     send(state, entry, serverPool.estimateFinishMs(entry, state.work, held));
@@ -220,7 +238,7 @@
         requestQueue.remove(service, id);
       } else {
         const choice = chooseServer(state);
-        if (choice.kind === 'full') return;
+        if (choice.kind === 'full' || choice.kind === 'paused') return;
         requestQueue.take(service, id);
         if (choice.kind === 'none') refuse(state, createFailure(state));
         else if (choice.load) place(state);
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -20,8 +20,8 @@
 import type { ConfigurationView } from './configuration-view.js';
 import type { Delivery } from './delivery.js';
 import { createDispatch } from './dispatch.js';
-import type { PermitClient, PermitEvents } from './permit-client.js';
-import { createPlacement } from './placement.js';
+import type { PermitClient } from './permit-client.js';
+import { createPlacement, type Placement } from './placement.js';
 import { isFinalAnswer, isRepeatAllowed } from './repeat.js';
 import { createRequestLog } from './request-log.js';
 import {
@@ -31,6 +31,7 @@
   type RequestOutcome,
   type RequestState,
 } from './request-state.js';
+import type { ServerNotices } from './server-notices.js';
 
 /** Margin after the deadline in which a backend server's own answer is still delivered. */
 const DEADLINE_MARGIN_MS = 40;
@@ -53,6 +54,8 @@
   limits: SharedLimits;
   repeatBudget: RepeatBudget;
   permits: Pick<PermitClient, 'findLoad' | 'requestPermit' | 'release' | 'addRunning'>;
+  /** Called with what a backend server says about itself in an answer. */
+  onNotice: ServerNotices['handleAnswer'];
   getView: () => ConfigurationView | undefined;
   areKeysFresh: KeyFreshnessCheck;
   /** Returns the number of instances that share the repeat budget and the slots. */
@@ -75,7 +78,7 @@
   /** Sends queued requests to slots that became free. */
   sendWaiting: () => void;
   /** Handlers of the agents' answers. */
-  agentEvents: PermitEvents;
+  agentEvents: Placement['agentEvents'];
   countOpen: () => number;
   dump: () => unknown;
   stop: () => void;
--- /dev/null
+++ b/packages/gateway/src/server-notices.ts
@@ -0,0 +1,60 @@
+/**
+ * Applies what backend servers say about themselves, learned from their answers, from peers and
+ * from agents. What waits for a leaving server is then refused by its agent and placed elsewhere.
+ */
+import type { Clock } from '@masticbend/kernel/clock';
+import { LogEvent, type Logger } from '@masticbend/kernel/log';
+import type { ServerEntry } from '@masticbend/scheduling/server-entry';
+import {
+  recordNotice,
+  recordPeerNotice,
+  type SharedNotice,
+} from '@masticbend/scheduling/server-notice';
+import type { ServerPool } from '@masticbend/scheduling/server-pool';
+import type { ServerNotice } from '@masticbend/settings/routing';
+import type { PermitClient } from './permit-client.js';
+
+/** Handlers of notices, by their source. */
+export interface ServerNotices {
+  handleAnswer: (entry: ServerEntry, notice: ServerNotice) => void;
+  handlePeer: (peer: string, notice: SharedNotice) => void;
+  /** The agent of a server refuses permits because the server is leaving. */
+  handleAgent: (server: string) => void;
+}
+
+/** Dependencies of the handlers. */
+export interface ServerNoticesOptions {
+  clock: Clock;
+  log: Logger;
+  serverPool: Pick<ServerPool, 'find'>;
+  reportLeaving: PermitClient['reportLeaving'];
+}
+
+/** Returns the handlers of notices. */
+export function createServerNotices(options: ServerNoticesOptions): ServerNotices {
+  const { clock, log, serverPool, reportLeaving } = options;
+
+  function handleLeaving({ server }: ServerEntry, source: string): void {
+    log.info(LogEvent.LeavingChanged, { server: server.id, born: server.bornAt, source });
+    reportLeaving(server.id);
+  }
+
+  return {
+    handleAnswer(entry, notice) {
+      const { server } = entry;
+      if (notice.pauseMs > 0) {
+        log.info(LogEvent.ServerPaused, { server: server.id, pauseMs: notice.pauseMs });
+      }
+      if (recordNotice(clock.now(), entry, notice)) handleLeaving(entry, 'answer');
+    },
+    handlePeer(peer, notice) {
+      const entry = serverPool.find(notice.server);
+      if (entry && recordPeerNotice(clock.now(), entry, notice)) handleLeaving(entry, peer);
+    },
+    handleAgent(server) {
+      const entry = serverPool.find(server);
+      const notice = { isLeaving: true, pauseMs: 0 };
+      if (entry && recordNotice(clock.now(), entry, notice)) handleLeaving(entry, 'agent');
+    },
+  };
+}
--- a/packages/gateway/src/servers-service.ts
+++ b/packages/gateway/src/servers-service.ts
@@ -88,7 +88,8 @@
         applyChanges(serverList.setAll(getElapsed(), usable));
       },
       onChanges: (rows) => applyChanges(rows.flatMap(applyRow)),
-      onRestored: () => serverList.startGracePeriod(getElapsed()),
+      onReconnected: () => serverList.startGracePeriod(getElapsed()),
+      onRestored: () => serverList.startRestoration(getElapsed()),
     },
   });
   getRevision = feed.getRevision;
--- a/packages/gateway/src/services.ts
+++ b/packages/gateway/src/services.ts
@@ -3,7 +3,6 @@
 import type { Lifecycle } from '@masticbend/kernel/kernel';
 import type { Logger } from '@masticbend/kernel/log';
 import type { Metrics } from '@masticbend/kernel/metrics';
-import type { Store } from '@masticbend/platform/store';
 import type { ServerPool } from '@masticbend/scheduling/server-pool';
 import type { SharedLimits } from '@masticbend/scheduling/shared-limit';
 import type { BackendClient } from './backend-client.js';
@@ -13,19 +12,22 @@
 import type { PeerMesh } from './peer-mesh.js';
 import type { PermitClient } from './permit-client.js';
 import type { Requests } from './requests.js';
+import type { ServerNotices } from './server-notices.js';
+import type { EraStore } from './store-era.js';
 import type { TableFeed } from './table-feed.js';
 
 export interface GatewayServices {
   clock: Clock;
   log: Logger;
   metrics: Metrics;
-  store: Store & Lifecycle;
+  store: EraStore & Lifecycle;
   client: BackendClient & Lifecycle;
   board: ServerPool & Lifecycle;
   limits: SharedLimits & Lifecycle;
   view: ViewService & Lifecycle;
   servers: TableFeed & Lifecycle;
   requests: Requests & Lifecycle;
+  notices: ServerNotices & Lifecycle;
   ingress: Ingress & Lifecycle;
   members: Members & Lifecycle;
   permits: PermitClient & Lifecycle;
@@ -36,10 +38,13 @@
 /** The configuration in force and its age. */
 export interface ViewService {
   getView: () => ConfigurationView | undefined;
+  /** A peer has this version of the configuration in force. */
+  recordPeerVersion: (version: number) => void;
   /** Returns whether the keys were confirmed recently enough to admit requests by them. */
   areKeysFresh: () => boolean;
   /** Returns whether the configuration was confirmed recently enough for the entry to be ready. */
   isConfigurationRecent: () => boolean;
+  refresh: TableFeed['refresh'];
   /** Time since the last successful read was sent, in milliseconds; undefined before the first. */
   getAgeMs: TableFeed['getAgeMs'];
 }
--- a/packages/gateway/src/table-feed.ts
+++ b/packages/gateway/src/table-feed.ts
@@ -1,10 +1,14 @@
 /**
  * Follows one table: reads all rows, then their changes, and reads all rows again when the required
- * change history is no longer available. The age of the data is the time since the last successful
- * read was sent.
+ * change history is no longer available or the store was restored from an older copy. The age of
+ * the data is the time since the last successful read was sent.
+ *
+ * After a restoration the writers of the lost rows write them again. Until then a read does not
+ * show the newest data, so it does not renew the age.
  */
-import { waitFor, type Clock } from '@masticbend/kernel/clock';
+import { startPause, type Clock } from '@masticbend/kernel/clock';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
+import { REGISTRATION_GRACE_MS } from '@masticbend/scheduling/server-list';
 import type { ReadResult, Store, StoreRow, StoreRows } from '@masticbend/platform/store';
 
 /** Read interval, as a fraction of the time within which a change must take effect. */
@@ -22,6 +26,8 @@
   /** Rows changed or deleted since the last read. */
   onChanges: (rows: readonly StoreRow[]) => void;
   /** Called on the first successful read after failed ones, before its rows are reported. */
+  onReconnected?: () => void;
+  /** Called when the store was restored from an older copy, before its rows are reported. */
   onRestored?: () => void;
 }
 
@@ -31,6 +37,10 @@
   getAgeMs: () => number | undefined;
   /** Newest revision read; 0 before the first read and after a loss of history. */
   getRevision: () => number;
+  /** The rows that a restored store had lost are known to be written again. */
+  endRewrite: () => void;
+  /** Starts the next read now, unless one is in progress. */
+  refresh: () => void;
   start: () => void;
   stop: () => void;
 }
@@ -52,11 +62,19 @@
 export function createTableFeed(options: FeedOptions): TableFeed {
   const { intervalMs, store, table, clock, getElapsed, log, events } = options;
   let revision: number | undefined;
+  let era: number | undefined;
   let confirmedAt: number | undefined;
+  /** End of the time for writing lost rows again; all rows are read once more after it. */
+  let rewriteEndsAt: number | undefined;
   let failures = 0;
+  let wake = () => {};
   let stopped = false;
 
-  async function readNext(): Promise<ReadResult> {
+  async function readNext(sentAt: number): Promise<ReadResult> {
+    if (rewriteEndsAt !== undefined && sentAt >= rewriteEndsAt) {
+      rewriteEndsAt = undefined;
+      revision = undefined;
+    }
     if (revision === undefined) return store.readRows(table);
     return store.readChanges(table, revision, MAX_CHANGE_WAIT_MS);
   }
@@ -80,46 +98,84 @@
     });
   }
 
-  function recordAnswer(sentAt: number): void {
-    confirmedAt = Math.max(confirmedAt ?? 0, sentAt);
+  function recordAnswer(): void {
     if (failures === 0) return;
     log.info(LogEvent.PlatformRestored, { table, failures, revision });
     failures = 0;
+    events.onReconnected?.();
+  }
+
+  function recordConfirmation(sentAt: number): void {
+    if (rewriteEndsAt === undefined) confirmedAt = Math.max(confirmedAt ?? 0, sentAt);
+  }
+
+  /** Revisions of the earlier era say nothing about this one: all rows have to be read again. */
+  function startEra(nextEra: number): void {
+    log.warn(LogEvent.StoreRestored, { table, era: nextEra, earlierEra: era, revision });
+    revision = undefined;
+    rewriteEndsAt = getElapsed() + REGISTRATION_GRACE_MS;
     events.onRestored?.();
   }
 
+  /** Returns the rows of an answer; undefined where all rows have to be read instead. */
+  function takeRows(result: Exclude<ReadResult, { kind: 'unavailable' }>): StoreRows | undefined {
+    const isChangeRead = revision !== undefined;
+    const answerEra = result.kind === 'rows' ? result.rows.era : result.era;
+    if (era !== undefined && answerEra !== era) startEra(answerEra);
+    era = answerEra;
+    if (result.kind === 'history-lost') {
+      log.warn(LogEvent.HistoryLost, { table, revision });
+      revision = undefined;
+      return undefined;
+    }
+    return isChangeRead && revision === undefined ? undefined : result.rows;
+  }
+
   function getAgeMs(): number | undefined {
     return confirmedAt === undefined ? undefined : getElapsed() - confirmedAt;
   }
 
   async function readOnce(): Promise<number> {
     const sentAt = getElapsed();
-    const result = await readNext();
+    const result = await readNext(sentAt);
     if (stopped) return 0;
     if (result.kind === 'unavailable') {
       recordFailure(result.reason);
       return Math.min(MAX_RETRY_DELAY_MS, MIN_RETRY_DELAY_MS * failures);
     }
-    if (result.kind === 'history-lost') {
-      log.warn(LogEvent.HistoryLost, { table, revision });
-      revision = undefined;
-      return 0;
-    }
-    recordAnswer(sentAt);
-    applyRows(result.rows);
-    return Math.max(0, intervalMs - (getElapsed() - sentAt));
+    const rows = takeRows(result);
+    if (!rows) return 0;
+    recordAnswer();
+    applyRows(rows);
+    recordConfirmation(sentAt);
+    return chooseDelayMs(sentAt);
+  }
+
+  /** Reads once more at the end of a rewrite, so that the age stays low. */
+  function chooseDelayMs(sentAt: number): number {
+    const now = getElapsed();
+    const nextReadAt = Math.min(sentAt + intervalMs, rewriteEndsAt ?? Infinity);
+    return Math.max(0, nextReadAt - now);
   }
 
   async function run(): Promise<void> {
     while (!stopped) {
       const delayMs = await readOnce();
-      if (delayMs > 0) await waitFor(clock, delayMs);
+      if (delayMs > 0) {
+        const pause = startPause(clock, delayMs);
+        wake = pause.end;
+        await pause.ended;
+      }
     }
   }
 
   return {
     getAgeMs,
     getRevision: () => revision ?? 0,
+    endRewrite() {
+      rewriteEndsAt = undefined;
+    },
+    refresh: () => wake(),
     start() {
       run().catch((error: Error) => {
         log.error(LogEvent.ProcessFailed, { table, error: error.message });
--- a/packages/gateway/src/view-service.ts
+++ b/packages/gateway/src/view-service.ts
@@ -1,4 +1,8 @@
-/** Follows the configuration in the store and reports how recently it was confirmed. */
+/**
+ * Follows the configuration in the store and reports how recently it was confirmed. A version never
+ * replaces a later one. Where a peer knows a later version than the store returns, the store was
+ * restored from an older copy, and keys that the later version revoked may still be in it.
+ */
 import type { Kernel, Lifecycle } from '@masticbend/kernel/kernel';
 import { LogEvent } from '@masticbend/kernel/log';
 import {
@@ -29,6 +33,21 @@
   const { keyFreshnessMs, configurationMs } = settings.bounds;
   let view: ConfigurationView | undefined;
   let wereFresh = false;
+  let endRewrite = () => {};
+  /** Revision of the configuration row that was applied last. */
+  let rowRevision: number | undefined;
+  /** That revision at the restoration of the store, while the row may be an old copy. */
+  let copiedRevision: number | undefined;
+  /** Latest version that a peer reported, and when it was first reported. */
+  let peerVersion = { version: 0, reportedAt: 0 };
+
+  /** A row with another revision and no older version was written after the restoration. */
+  function checkRewrite(row: StoreRow, version: number): void {
+    if (copiedRevision === undefined || row.revision === copiedRevision) return;
+    if (view && version < view.configuration.version) return;
+    copiedRevision = undefined;
+    endRewrite();
+  }
 
   function applyRows(rows: readonly StoreRow[]): void {
     const row = rows.filter(({ key, deleted }) => key === CONFIGURATION_KEY && !deleted).at(-1);
@@ -41,7 +60,10 @@
       });
       return;
     }
-    if (view && configuration.version <= view.configuration.version) return;
+    checkRewrite(row, configuration.version);
+    if (view && configuration.version < view.configuration.version) return;
+    rowRevision = row.revision;
+    if (configuration.version === view?.configuration.version) return;
     view = createConfigurationView(configuration);
     log.info(LogEvent.ConfigurationApplied, {
       version: configuration.version,
@@ -62,16 +84,32 @@
     clock: kernel.find('clock'),
     getElapsed,
     log,
-    events: { onTable: applyRows, onChanges: applyRows },
+    events: {
+      onTable: applyRows,
+      onChanges: applyRows,
+      onRestored() {
+        copiedRevision = rowRevision;
+      },
+    },
   });
 
+  endRewrite = feed.endRewrite;
+
   function getAgeMs(): number {
     return feed.getAgeMs() ?? Infinity;
   }
 
+  /** Returns whether a read sent after a peer reported a later version did not return it. */
+  function isBehindPeers(): boolean {
+    if ((view?.configuration.version ?? 0) >= peerVersion.version) return false;
+    return getAgeMs() < getElapsed() - peerVersion.reportedAt;
+  }
+
   function checkKeyFreshness(): boolean {
     const isFresh =
-      getAgeMs() < keyFreshnessMs * KEY_FRESHNESS_FRACTION && kernel.find('members').isLeaseHeld();
+      getAgeMs() < keyFreshnessMs * KEY_FRESHNESS_FRACTION &&
+      !isBehindPeers() &&
+      kernel.find('members').isLeaseHeld();
     if (isFresh !== wereFresh) {
       wereFresh = isFresh;
       const ageMs = Math.round(Math.min(getAgeMs(), Number.MAX_SAFE_INTEGER));
@@ -83,7 +121,11 @@
   return {
     start: feed.start,
     stop: feed.stop,
+    refresh: feed.refresh,
     getView: () => view,
+    recordPeerVersion(version) {
+      if (version > peerVersion.version) peerVersion = { version, reportedAt: getElapsed() };
+    },
     areKeysFresh: checkKeyFreshness,
     getAgeMs: feed.getAgeMs,
     isConfigurationRecent: () => getAgeMs() < keyFreshnessMs * READINESS_FRACTION,
--- a/packages/gateway/test/explain.test.ts
+++ b/packages/gateway/test/explain.test.ts
@@ -18,6 +18,15 @@
     expect(describeRequest('6a8e', [LOG, 'not a log line\n'])).toMatchSnapshot();
   });
 
+  it('keeps the order of a process whose wall clock stepped back', () => {
+    const lines = [
+      'level=info time=2026-05-17T23:04:52.400Z process=e1 event=request-placed request=6a8e server=i-7',
+      'level=info time=2026-05-17T23:04:51.000Z process=e1 event=attempt-failed request=6a8e server=i-7',
+      'level=info time=2026-05-17T23:04:51.200Z process=e1 event=request-failed request=6a8e',
+    ];
+    expect(describeRequest('6a8e', [lines.join('\n')])).to.deep.equal(lines);
+  });
+
   it('shows nothing for an unknown request', () => {
     expect(describeRequest('none', [LOG])).to.deep.equal([]);
   });
--- a/packages/gateway/test/permits.test.ts
+++ b/packages/gateway/test/permits.test.ts
@@ -100,6 +100,30 @@
     await waitUntil(() => readAgent().held === 0);
   });
 
+  it('are refused once the engine says that it is leaving, also those that wait', async () => {
+    const headers = { 'x-masticbend-deadline-ms': '5000' };
+    const calls = Array.from({ length: 8 }, () => deployment.call('/once/a', { headers }));
+    await waitUntil(() => open.length === SLOTS + EXTRA_PERMITS && readAgent().waiting > 0);
+    open[0]!.socket.write(formatAnswer(200, 'done', ['Server-Leaving: 1']));
+    await waitUntil(() => readAgent().waiting === 0);
+    expect((await deployment.call('/once/a')).status).to.equal(503);
+    for (const arrival of open.slice(1)) answer(arrival);
+    const statuses = (await Promise.all(calls)).map(({ status }) => status);
+    expect(statuses.filter((status) => status === 200).length).to.equal(SLOTS + EXTRA_PERMITS);
+    expect(open.length).to.equal(SLOTS + EXTRA_PERMITS);
+  });
+
+  it('are granted again when the engine was restarted after it was leaving', async () => {
+    deployment.backends[0]!.script = ({ socket }) =>
+      socket.write(formatAnswer(200, 'done', ['Server-Leaving: 1']));
+    expect((await deployment.call('/once/a')).status).to.equal(200);
+    expect((await deployment.call('/once/a')).status).to.equal(503);
+    deployment.backends[0]!.script = answer;
+    deployment.writeServer(0, { born: 2 });
+    await waitUntil(async () => (await deployment.call('/once/a')).status === 200);
+    await waitUntil(() => readAgent().held === 0);
+  });
+
   it('are granted to each request only once', async () => {
     deployment.backends[0]!.script = answer;
     const replies = await Promise.all(
--- a/packages/gateway/test/platform-state.test.ts
+++ b/packages/gateway/test/platform-state.test.ts
@@ -2,8 +2,13 @@
  * Effects of configuration, API keys, server registrations and process stop on callers and backend
  * servers.
  */
+import { connect as createSocket } from 'node:net';
 import { expect } from 'chai';
 import { Agent, request as send } from 'undici';
+import { createSystemClock } from '@masticbend/kernel/clock';
+import { createConnection } from '@masticbend/protocol/connection';
+import type { PeerReportMessage } from '@masticbend/protocol/gateway-message';
+import { parseAddress } from '@masticbend/settings/address';
 import { formatAnswer, type Script } from './backend.js';
 import { HOST, KEY, waitFor, startDeployment, waitUntil, type Deployment } from './harness.js';
 
@@ -12,6 +17,19 @@
 const DRAIN_TIMEOUT_MS = 2_000;
 const KEY_FRESHNESS_MS = 2_500;
 
+const EMPTY_REPORT: PeerReportMessage = {
+  kind: 'peer-report',
+  servers: [],
+  running: [],
+  accounts: [],
+  units: [],
+  version: 0,
+  noticeServers: [],
+  noticeBornAt: [],
+  noticeLeaving: [],
+  noticePauseMs: [],
+};
+
 const answerOk: Script = ({ socket }) => socket.write(formatAnswer(200, 'done'));
 
 describe('platform state of an entry', () => {
@@ -70,6 +88,22 @@
     await waitUntil(async () => (await callStatus('/once/a')) === 200);
   });
 
+  it('refuse requests with a key while a peer knows a later configuration than the store', async () => {
+    await start(answerOk);
+    const { host, port } = parseAddress(deployment.settings.meshAddress);
+    const socket = createSocket(port, host);
+    const clock = createSystemClock();
+    const events = { onMessage: () => undefined, onClose: () => undefined };
+    const peer = createConnection(socket, clock, events);
+    peer.send({ kind: 'peer-hello', instance: 'entry-0', incarnation: 'x' });
+    peer.send({ ...EMPTY_REPORT, version: 5 });
+    await waitUntil(async () => (await callStatus('/once/a')) === 503);
+    expect(await callStatus('/open/a')).to.equal(200);
+    deployment.writeConfiguration({ version: 5 });
+    await waitUntil(async () => (await callStatus('/once/a')) === 200);
+    peer.close('test ends');
+  });
+
   it('send no new requests to a draining server', async () => {
     await start(answerOk, answerOk);
     deployment.writeServer(0, { state: 'draining' });
--- a/packages/gateway/test/sharing.test.ts
+++ b/packages/gateway/test/sharing.test.ts
@@ -3,15 +3,18 @@
 import { startStoreStandIn, type StoreStandIn } from '@masticbend/platform/store-standin';
 import { createSystemClock } from '@masticbend/kernel/clock';
 import { createSilentLogger } from '@masticbend/kernel/log';
-import { createStore, type Store } from '@masticbend/platform/store';
+import { createStore } from '@masticbend/platform/store';
 import { createMembers, type Members } from '../src/members.js';
 import { createPeerMesh, type PeerMesh, type PeerReport } from '../src/peer-mesh.js';
+import { createEraStore, type EraStore } from '../src/store-era.js';
 import { waitUntil } from './harness.js';
 
 /** One port for all entries; it differs between concurrent test runs. */
 const PORT = 16_000 + (process.pid % 1_000);
 /** Time within which a stopped peer must no longer be live. */
 const PEER_LOSS_TIMEOUT_MS = 1_000;
+/** Interval of the renewals and the spread of the rewrite, with a margin. */
+const RENEWAL_TIMEOUT_MS = 3_500;
 
 interface Entry {
   members: Members;
@@ -24,7 +27,7 @@
 
 describe('entries that share limits', () => {
   let standIn: StoreStandIn;
-  let store: Store;
+  let store: EraStore;
   let entries: Entry[];
 
   /** Starts an entry; all use the same port on different loopback addresses. */
@@ -45,6 +48,7 @@
         clock,
         getElapsed: clock.now,
         log,
+        drawRandom: () => 0,
         onChange: () => entry.mesh.setMembers(entry.members.listOthers()),
       }),
       mesh: createPeerMesh({
@@ -52,7 +56,7 @@
         incarnation,
         clock,
         log,
-        describeState: () => ({ running: new Map(), admitted }),
+        describeState: () => ({ running: new Map(), admitted, version: 1, notices: [] }),
         onReport(_peer, report: PeerReport) {
           entry.received += report.admitted.get('bakery') ?? 0;
         },
@@ -73,7 +77,7 @@
 
   beforeEach(async () => {
     standIn = await startStoreStandIn();
-    store = createStore(standIn.address);
+    store = createEraStore(createStore(standIn.address));
     entries = await Promise.all([1, 2, 3].map(startEntry));
     await waitUntil(() => entries.every(({ livePeers }) => livePeers === 2));
   });
@@ -118,6 +122,16 @@
     await waitUntil(() => first.received === 130);
   });
 
+  it('write their rows again at once when the store is restored from an older copy', async () => {
+    const empty = { rows: new Map(), revision: 0 };
+    standIn.restore(empty);
+    const restoredAt = performance.now();
+    await waitUntil(() => [1, 2, 3].every((index) => standIn.has('entries', `entry-${index}`)));
+    // The next regular renewal shows the era; the rows follow within the spread of the rewrite.
+    expect(performance.now() - restoredAt).to.be.below(RENEWAL_TIMEOUT_MS);
+    expect(entries.every(({ members }) => members.listOthers().length === 2)).to.equal(true);
+  });
+
   it('hold their lease only after their row is written and the others are known', async () => {
     expect(entries.every(({ members }) => members.isLeaseHeld())).to.equal(true);
     standIn.faults.status = 503;
--- a/packages/kernel/src/clock.ts
+++ b/packages/kernel/src/clock.ts
@@ -27,22 +27,31 @@
   };
 }
 
+/** Difference between the wall and the monotonic duration that counts as a step. */
+const WALL_STEP_MS = 250;
+
 /**
  * Returns a function that returns the elapsed milliseconds, including time in which the instance
  * was suspended, which the monotonic clock leaves out. The time between two calls counts as the
  * longer of its monotonic and its wall duration. A forward step of the wall clock is therefore
- * counted too: leases then expire early, never late.
+ * counted too: leases then expire early, never late. `onStep` is called after each suspension or
+ * step, so that what has expired can be renewed at once; `stepMs` is negative for a step back.
  */
-export function createElapsedTime(clock: Clock): () => number {
+export function createElapsedTime(
+  clock: Clock,
+  onStep: (stepMs: number) => void = () => undefined,
+): () => number {
   let elapsed = 0;
   let monotonic = clock.now();
   let wall = clock.readWallTime();
   return () => {
     const nextMonotonic = clock.now();
     const nextWall = clock.readWallTime();
-    elapsed += Math.max(nextMonotonic - monotonic, nextWall - wall);
+    const stepMs = nextWall - wall - (nextMonotonic - monotonic);
+    elapsed += nextMonotonic - monotonic + Math.max(0, stepMs);
     monotonic = nextMonotonic;
     wall = nextWall;
+    if (Math.abs(stepMs) >= WALL_STEP_MS) onStep(stepMs);
     return elapsed;
   };
 }
@@ -54,6 +63,25 @@
   });
 }
 
+/** A wait that can be ended early. */
+export interface Pause {
+  ended: Promise<void>;
+  end: () => void;
+}
+
+/** Starts a wait of a duration on a clock. */
+export function startPause(clock: Clock, durationMs: number): Pause {
+  let end = () => {};
+  const ended = new Promise<void>((resolve) => {
+    const stopTimer = clock.startTimer(durationMs, resolve);
+    end = () => {
+      stopTimer();
+      resolve();
+    };
+  });
+  return { ended, end };
+}
+
 /** Clock whose time changes only through `advance`. */
 export interface VirtualClock extends Clock {
   /** Moves time forward and runs due timers in the order of their due time. */
--- a/packages/kernel/test/line-sink.test.ts
+++ b/packages/kernel/test/line-sink.test.ts
@@ -107,4 +107,25 @@
     clock.advance(10);
     expect(getElapsed()).to.equal(5_110);
   });
+
+  it('reports each step of the wall clock, but no drift', () => {
+    const clock = createVirtualClock();
+    let wallOffset = 0;
+    const steps: number[] = [];
+    const getElapsed = createElapsedTime(
+      { ...clock, readWallTime: () => clock.now() + wallOffset },
+      (stepMs) => steps.push(stepMs),
+    );
+    for (const [offset, advanceMs] of [
+      [100, 50],
+      [2_500, 50],
+      [2_500, 400],
+      [100, 50],
+    ] as const) {
+      wallOffset = offset;
+      clock.advance(advanceMs);
+      getElapsed();
+    }
+    expect(steps).to.deep.equal([2_400, -2_400]);
+  });
 });
--- a/packages/protocol/src/gateway-message.ts
+++ b/packages/protocol/src/gateway-message.ts
@@ -20,6 +20,16 @@
   accounts: string[];
   /** Units admitted since the sender's start. */
   units: number[];
+  /** Version of the configuration in force at the sender; 0 for none. */
+  version: number;
+  /**
+   * Backend servers that told the sender that they are leaving or want a pause; `noticeBornAt`
+   * identifies their incarnation, `noticePauseMs` is 0 where no pause is left.
+   */
+  noticeServers: string[];
+  noticeBornAt: number[];
+  noticeLeaving: boolean[];
+  noticePauseMs: number[];
 }
 
 /** Entry → agent, first message: the backend server that the entry needs permits for. */
@@ -27,6 +37,10 @@
   kind: 'permit-hello';
   instance: string;
   server: string;
+  /** Start of the backend server, as Unix time in milliseconds. */
+  bornAt: number;
+  /** The entry knows that the backend server is leaving. */
+  leaving: boolean;
   /** Number of requests that the backend server runs concurrently. */
   slots: number;
   /** Ids of the entry's requests that already run there. */
@@ -69,6 +83,15 @@
   waitMs: number;
   held: number;
   waitsMs: readonly number[];
+  /** The backend server is leaving: the agent grants no more permits. */
+  leaving: boolean;
+}
+
+/** Entry → agent: the backend server has said that it is leaving. */
+export interface PermitLeavingMessage {
+  kind: 'permit-leaving';
+  /** Start of the backend server, as Unix time in milliseconds. */
+  bornAt: number;
 }
 
 /** Entry → agent: the request has ended, or no longer needs a permit from this agent. */
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -9,6 +9,7 @@
   PeerReportMessage,
   PermitHelloMessage,
   PermitMessage,
+  PermitLeavingMessage,
   PermitRefusalMessage,
   PermitReleaseMessage,
   PermitReportMessage,
@@ -69,6 +70,7 @@
   PermitRequest: 'permit-request',
   Permit: 'permit',
   PermitRefusal: 'permit-refusal',
+  PermitLeaving: 'permit-leaving',
   PermitRelease: 'permit-release',
   PermitReport: 'permit-report',
 } as const;
@@ -416,6 +418,7 @@
   | PermitHelloMessage
   | PermitRequestMessage
   | PermitMessage
+  | PermitLeavingMessage
   | PermitRefusalMessage
   | PermitReleaseMessage
   | PermitReportMessage;
--- a/packages/scheduling/src/permit-queue.ts
+++ b/packages/scheduling/src/permit-queue.ts
@@ -45,6 +45,8 @@
   dropOwner: (now: number, owner: string) => PermitAnswer[];
   /** Refuses the requests that have waited too long. */
   expire: (now: number) => PermitAnswer[];
+  /** Refuses all waiting requests. */
+  clear: () => PermitAnswer[];
   report: () => AgentLoad & { waiting: number };
   countWaiting: () => number;
 }
@@ -189,6 +191,10 @@
       }
       return answers;
     },
+    clear: () =>
+      queue
+        .clear()
+        .map((work) => ({ owner: work.owner, request: getRequestId(work), refusedWaitMs: 0 })),
     report() {
       const isFree = held.size < slots && queue.size() === 0;
       const waitsMs = isFree ? [0] : listWaitsMs();
--- a/packages/scheduling/src/server-entry.ts
+++ b/packages/scheduling/src/server-entry.ts
@@ -2,7 +2,7 @@
  * State of one backend server as an instance tracks it, and the times estimated from it for a
  * request on that server.
  */
-import type { BackendServer } from '@masticbend/settings/routing';
+import { ServerState, type BackendServer } from '@masticbend/settings/routing';
 
 /** Estimates for a server without observations: those of an average engine. */
 const INITIAL_EVENT_INTERVAL_MS = 30;
@@ -39,6 +39,27 @@
   /** Consecutive calls without a response. */
   consecutiveFailures: number;
   ejectedUntil: number;
+  /** The server said that it is leaving; its registration may not show it yet. */
+  isLeaving: boolean;
+  /** End of the pause that the server asked this instance for, and of those it asked peers for. */
+  pausedUntil: number;
+  peerPausedUntil: number;
+}
+
+/** Returns whether the server may get new requests. */
+export function isUsable(now: number, entry: ServerEntry): boolean {
+  return !isGoing(entry) && entry.ejectedUntil <= now && entry.pausedUntil <= now;
+}
+
+/** Returns when a server that asked for a pause may be used again; undefined for any other. */
+export function findPauseEnd(now: number, entry: ServerEntry): number | undefined {
+  if (isGoing(entry) || entry.pausedUntil <= now) return undefined;
+  return Math.max(entry.pausedUntil, entry.ejectedUntil);
+}
+
+/** Returns whether the server is leaving, by its registration or by its own answers. */
+function isGoing({ server, isLeaving }: ServerEntry): boolean {
+  return isLeaving || server.state !== ServerState.Ready;
 }
 
 /** Returns the requests in flight at a server, from this instance and as reported by its peers. */
@@ -61,6 +82,9 @@
     failureRate: 0,
     consecutiveFailures: 0,
     ejectedUntil: 0,
+    isLeaving: false,
+    pausedUntil: 0,
+    peerPausedUntil: 0,
   };
 }
 
--- a/packages/scheduling/src/server-pool.ts
+++ b/packages/scheduling/src/server-pool.ts
@@ -3,7 +3,7 @@
  * requests each holds (from the instance's own count and its peers' reports), how fast each one is
  * and how often it fails. Chooses the server on which a request is expected to finish first.
  */
-import { ServerState, type BackendServer } from '@masticbend/settings/routing';
+import type { BackendServer } from '@masticbend/settings/routing';
 import { updateMovingAverage } from './moving-average.js';
 import {
   countHeld,
@@ -11,6 +11,8 @@
   estimateFinishMs,
   estimateFirstMs,
   estimatePrefillMs,
+  findPauseEnd,
+  isUsable,
   type PlacedWork,
   type ServerEntry,
 } from './server-entry.js';
@@ -26,6 +28,8 @@
 const MAX_EJECTION_MS = 8_000;
 /** Expected cost of repeating a failed request; it is weighted by the server's failure rate. */
 const FAILURE_PENALTY_MS = 400;
+/** Penalty for a server that asked a peer to pause: it is short of capacity. */
+const PEER_PAUSE_PENALTY_MS = 400;
 /**
  * Penalty for a server in another data centre, as a fraction of the finish time: traffic costs
  * money.
@@ -97,6 +101,8 @@
   | ServerChoice
   /** All slots are taken; `waitMs` is the shortest wait that an agent expects, if any reported. */
   | { kind: 'full'; waitMs?: number }
+  /** Each server has asked for a pause; `waitMs` is the time until the first pause ends. */
+  | { kind: 'paused'; waitMs: number }
   /** No usable server is left. */
   | { kind: 'none' };
 
@@ -147,14 +153,20 @@
   let entries = new Map<string, ServerEntry>();
   const peerLoads = new Map<string, ReadonlyMap<string, number>>();
 
-  function isUsable(now: number, entry: ServerEntry): boolean {
-    return entry.server.state === ServerState.Ready && entry.ejectedUntil <= now;
-  }
-
   function listUsable(now: number): ServerEntry[] {
     return [...entries.values()].filter((entry) => isUsable(now, entry));
   }
 
+  /** Describes why no server of a service can be chosen at all. */
+  function describeShortage(now: number, { service, excluded }: PlacementQuery): Choice {
+    const pauseEnds = [...entries.values()]
+      .filter(({ server }) => server.service === service && !excluded.has(server.id))
+      .map((entry) => findPauseEnd(now, entry))
+      .filter((end) => end !== undefined);
+    if (pauseEnds.length === 0) return { kind: 'none' };
+    return { kind: 'paused', waitMs: Math.min(...pauseEnds) - now };
+  }
+
   function applyPeerLoads(entry: ServerEntry): void {
     entry.peerRunning.clear();
     for (const [peer, load] of peerLoads) {
@@ -197,11 +209,12 @@
             const waitMs = getExpectedWaitMs(load, query.lateRank);
             minWaitMs = Math.min(minWaitMs ?? waitMs, waitMs);
           }
-          const candidate = createCandidate(entry, query, load, dataCentre);
+          const candidate = createCandidate(now, entry, query, load, dataCentre);
           if (candidate && (!best || isPreferred(candidate, best))) best = candidate;
         }
       }
-      if (!best) return usable > 0 ? { kind: 'full', waitMs: minWaitMs } : { kind: 'none' };
+      if (!best && usable === 0) return describeShortage(now, query);
+      if (!best) return { kind: 'full', waitMs: minWaitMs };
       return { kind: 'server', ...best };
     },
     addRunning(entry, work) {
@@ -281,6 +294,7 @@
 }
 
 function createCandidate(
+  now: number,
   entry: ServerEntry,
   query: PlacementQuery,
   load: AgentLoad | undefined,
@@ -298,7 +312,9 @@
   const finishMs = estimateFinishMs(entry, work, held) + expectedWaitMs;
   const hasFreeSlot = expectedWaitMs === 0;
   const distance = entry.server.dataCentre === dataCentre ? 0 : REMOTE_PENALTY_FRACTION;
-  const cost = finishMs * (1 + distance) + entry.failureRate * FAILURE_PENALTY_MS;
+  const pausePenaltyMs = entry.peerPausedUntil > now ? PEER_PAUSE_PENALTY_MS : 0;
+  const failurePenaltyMs = entry.failureRate * FAILURE_PENALTY_MS;
+  const cost = finishMs * (1 + distance) + failurePenaltyMs + pausePenaltyMs;
   const meetsDeadline = finishMs <= leftMs * DEADLINE_FRACTION;
   return { entry, load, onTime, rank, meetsDeadline, hasFreeSlot, firstMs, finishMs, cost };
 }
--- a/packages/scheduling/test/server-list.test.ts
+++ b/packages/scheduling/test/server-list.test.ts
@@ -59,6 +59,27 @@
     expect(list.list().map(({ id }) => id)).to.have.members(['new', '2']);
   });
 
+  it('does not bring back what a restored store lists from an older copy', () => {
+    const list = createServerList();
+    const names = () => list.list().map(({ id, bornAt, state }) => `${id} ${bornAt} ${state}`);
+    list.setAll(
+      0,
+      ['1', '2', '3', '4'].map((id) => createServer(id, { bornAt: 5 })),
+    );
+    list.remove(100, '1');
+    list.set(createServer('2', { bornAt: 9 }));
+    list.set(createServer('3', { bornAt: 5, state: ServerState.Leaving }));
+    const copy = ['1', '2', '3'].map((id) => createServer(id, { bornAt: 5 }));
+    list.startRestoration(5_000);
+    list.setAll(5_000, copy);
+    expect(names()).to.have.members(['2 9 ready', '3 5 leaving', '4 5 ready']);
+    list.expire(5_000 + REGISTRATION_GRACE_MS);
+    expect(names()).to.have.members(['2 9 ready', '3 5 leaving']);
+    // What is still listed after the grace period was written again.
+    list.setAll(5_000 + REGISTRATION_GRACE_MS, copy);
+    expect(names()).to.have.members(['1 5 ready', '2 5 ready', '3 5 leaving']);
+  });
+
   it('reports a leaving server also after an outage', () => {
     const list = createServerList();
     list.setAll(0, [createServer('1')]);
--- a/packages/settings/src/routing.ts
+++ b/packages/settings/src/routing.ts
@@ -111,6 +111,14 @@
 export const ServerState = { Ready: 'ready', Leaving: 'leaving' } as const;
 export type ServerState = (typeof ServerState)[keyof typeof ServerState];
 
+/** What a backend server says about itself in the headers of an answer. */
+export interface ServerNotice {
+  /** The server is leaving and must get no new requests. */
+  isLeaving: boolean;
+  /** Time for which it wants no requests from this instance, in milliseconds; 0 for none. */
+  pauseMs: number;
+}
+
 /** A backend server as listed by the platform. */
 export interface BackendServer {
   id: string;
