Account limits: the whole window, split by demand among the instances

Cause: after a limit was lowered, an account that asked for three times its limit got rate x window in each window of 8 s (359,000 of the 521,000 units that rate x window + burst allow); the bucket spent its burst once.

Change: a sum over the window beside the bucket, which fills at (rate x window + burst) / window; a lowered limit scales what was used before it. Near the limit each instance fills a bucket of its own by its part of the demand, which the peers' reports now carry.

Tests changed: the sustained rate is now rate + burst / window, which the rule allows; the bounds of 5 in 100 stay. New: evenness, 68 instances with late reports, a lowered limit, the window's sum.

--- a/packages/bench/src/soak/cluster.ts
+++ b/packages/bench/src/soak/cluster.ts
@@ -172,6 +172,7 @@
 repeatRatio = 0.2
 repeatSlack = 60
 repeatWindowS = 10
+limitWindowS = 8
 `;
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -72,7 +72,7 @@
   kernel.provide('store', () => createStoreService(kernel, settings.storeAddress));
   kernel.provide('client', createClientService);
   kernel.provide('board', () => createServerPool(settings.dataCentre));
-  kernel.provide('limits', createSharedLimits);
+  kernel.provide('limits', () => createSharedLimits(settings.bounds.limitWindowS * 1_000));
   kernel.provide('view', () => createViewService(kernel, settings, getElapsed));
   kernel.provide('servers', () => createServersService(kernel, settings, getElapsed));
   kernel.provide('notices', () => createNoticesService(kernel));
@@ -265,15 +265,15 @@
     log,
     describeState: () => ({
       running: serverPool.listRunning(permits.findLoad),
-      admitted: limits.listAdmitted(),
+      usage: limits.listUsage(),
       version: view.getView()?.configuration.version ?? 0,
       notices: listNotices(clock.now(), serverPool.listServers()),
     }),
-    onReport(peer, { running, admitted, version, notices }) {
+    onReport(peer, { running, usage, version, notices }) {
       view.recordPeerVersion(version);
       for (const notice of notices) kernel.find('notices').handlePeer(peer, notice);
       serverPool.setPeerLoad(peer, running);
-      for (const [name, units] of admitted) limits.recordPeerAdmitted(clock.now(), name, units);
+      for (const [name, used] of usage) limits.recordPeerUsage(clock.now(), name, used);
       kernel.find('requests').sendWaiting();
     },
     onLost: (peer) => serverPool.setPeerLoad(peer, new Map()),
--- a/packages/gateway/src/peer-mesh.ts
+++ b/packages/gateway/src/peer-mesh.ts
@@ -9,6 +9,7 @@
 import { createConnection, type Connection } from '@masticbend/protocol/connection';
 import type { PeerReportMessage } from '@masticbend/protocol/gateway-message';
 import type { SharedNotice } from '@masticbend/scheduling/server-notice';
+import type { AccountUsage } from '@masticbend/scheduling/shared-limit';
 import { parseAddress } from '@masticbend/settings/address';
 import type { Member } from './members.js';
 import { dialSocket, startServer } from './network.js';
@@ -29,12 +30,14 @@
 const DIAL_INTERVAL_MS = 300;
 const DIAL_TIMEOUT_MS = 500;
 
+const NO_USAGE: AccountUsage = { admitted: 0, asked: 0 };
+
 /** Report of a peer. */
 export interface PeerReport {
   /** Running requests by server id. */
   running: ReadonlyMap<string, number>;
-  /** Units admitted since its last report, by account; negative after refunds. */
-  admitted: ReadonlyMap<string, number>;
+  /** Units used since its last report, by account; admitted ones are negative after refunds. */
+  usage: ReadonlyMap<string, AccountUsage>;
   /** Version of the configuration in force there; 0 for none. */
   version: number;
   /** Notices of backend servers that the peer received. */
@@ -44,8 +47,8 @@
 /** State that an entry reports to its peers. */
 export interface OwnState {
   running: ReadonlyMap<string, number>;
-  /** Total admitted units by account. */
-  admitted: ReadonlyMap<string, number>;
+  /** Units used since the start, by account. */
+  usage: ReadonlyMap<string, AccountUsage>;
   version: number;
   notices: readonly SharedNotice[];
 }
@@ -78,8 +81,8 @@
   connection: Connection;
   lastReportAt: number;
   isLive: boolean;
-  /** Total admitted units reported by the peer, by account; undefined before its first report. */
-  units: Map<string, number> | undefined;
+  /** Total usage reported by the peer, by account; undefined before its first report. */
+  usage: Map<string, AccountUsage> | undefined;
 }
 
 /** Returns a mesh that is not listening yet. */
@@ -87,14 +90,14 @@
   const { self, incarnation, clock, log, describeState, onReport, onLost, onRound } = options;
   const peers = new Map<string, Peer>();
   const lastDialAt = new Map<string, number>();
-  /** Units of each instance's last incarnation, kept while it is not connected. */
-  const lastUnits = new Map<string, { incarnation: string; units: Map<string, number> }>();
+  /** Usage of each instance's last incarnation, kept while it is not connected. */
+  const lastUsage = new Map<string, { incarnation: string; usage: Map<string, AccountUsage> }>();
   let members: readonly Member[] = [];
   let server: Server | undefined;
   let stopRoundTimer = () => {};
   let lastSentAt = 0;
-  /** Total admitted units in this entry's last report. */
-  let reportedUnits = new Map<string, number>();
+  /** Total usage in this entry's last report. */
+  let reportedUsage = new Map<string, AccountUsage>();
   /** The other fields of the last report, for comparison. */
   let reportedState = '';
 
@@ -113,19 +116,19 @@
       },
     });
     connection.send({ kind: 'peer-hello', instance: self.instance, incarnation });
-    connection.send(createReport({ ...describeState(), admitted: reportedUnits }));
+    connection.send(createReport({ ...describeState(), usage: reportedUsage }));
   }
 
   function addPeer(instance: string, peerIncarnation: string, connection: Connection): Peer {
     const previous = peers.get(instance);
-    const last = lastUnits.get(instance);
+    const last = lastUsage.get(instance);
     const peer: Peer = {
       instance,
       incarnation: peerIncarnation,
       connection,
       lastReportAt: clock.now(),
       isLive: true,
-      units: last?.incarnation === peerIncarnation ? last.units : undefined,
+      usage: last?.incarnation === peerIncarnation ? last.usage : undefined,
     };
     peers.set(instance, peer);
     if (previous && previous.connection !== connection) previous.connection.close('replaced');
@@ -143,18 +146,21 @@
   function receiveReport(peer: Peer, message: PeerReportMessage): void {
     peer.lastReportAt = clock.now();
     peer.isLive = true;
-    const isFirstReport = peer.units === undefined;
-    const units = peer.units ?? new Map<string, number>();
-    const admitted = new Map<string, number>();
+    const isFirstReport = peer.usage === undefined;
+    const totals = peer.usage ?? new Map<string, AccountUsage>();
+    const usage = new Map<string, AccountUsage>();
     message.accounts.forEach((account, index) => {
-      const total = message.units[index] ?? 0;
+      const total = { admitted: message.units[index] ?? 0, asked: message.askedUnits[index] ?? 0 };
       // Units that a peer admitted before its first report here came from its own share.
-      const previousTotal = isFirstReport ? total : (units.get(account) ?? 0);
-      if (total !== previousTotal) admitted.set(account, total - previousTotal);
-      units.set(account, total);
+      const known = isFirstReport ? total : (totals.get(account) ?? NO_USAGE);
+      usage.set(account, {
+        admitted: total.admitted - known.admitted,
+        asked: total.asked - known.asked,
+      });
+      totals.set(account, total);
     });
-    peer.units = units;
-    lastUnits.set(peer.instance, { incarnation: peer.incarnation, units });
+    peer.usage = totals;
+    lastUsage.set(peer.instance, { incarnation: peer.incarnation, usage: totals });
     const running = new Map(message.servers.map((id, index) => [id, message.running[index] ?? 0]));
     const notices = message.noticeServers.map((id, index) => ({
       server: id,
@@ -162,7 +168,7 @@
       isLeaving: message.noticeLeaving[index] ?? false,
       pauseMs: message.noticePauseMs[index] ?? 0,
     }));
-    onReport(peer.instance, { running, admitted, version: message.version, notices });
+    onReport(peer.instance, { running, usage, version: message.version, notices });
   }
 
   function dialMissingPeers(now: number): void {
@@ -191,14 +197,13 @@
     const elapsedMs = now - lastSentAt;
     if (peers.size === 0 || elapsedMs < REPORT_INTERVAL_MS + peers.size * PEER_INTERVAL_MS) return;
     const state = describeState();
-    const { admitted } = state;
-    const changed = [...admitted].filter(([name, units]) => units !== reportedUnits.get(name));
-    const report = createReport({ ...state, admitted: new Map(changed) });
+    const changed = [...state.usage].filter(([name, total]) => total !== reportedUsage.get(name));
+    const report = createReport({ ...state, usage: new Map(changed) });
     const { servers, running, version, noticeServers, noticeLeaving } = report;
     const stateText = [version, servers, running, noticeServers, noticeLeaving].join(';');
     const isUnchanged = changed.length === 0 && stateText === reportedState;
     if (isUnchanged && elapsedMs < IDLE_REPORT_INTERVAL_MS) return;
-    reportedUnits = new Map(admitted);
+    reportedUsage = new Map(state.usage);
     reportedState = stateText;
     lastSentAt = now;
     for (const { connection } of peers.values()) connection.send(report);
@@ -238,13 +243,14 @@
   };
 }
 
-function createReport({ running, admitted, version, notices }: OwnState): PeerReportMessage {
+function createReport({ running, usage, version, notices }: OwnState): PeerReportMessage {
   return {
     kind: 'peer-report',
     servers: [...running.keys()],
     running: [...running.values()],
-    accounts: [...admitted.keys()],
-    units: [...admitted.values()],
+    accounts: [...usage.keys()],
+    units: [...usage.values()].map(({ admitted }) => admitted),
+    askedUnits: [...usage.values()].map(({ asked }) => asked),
     version,
     noticeServers: notices.map(({ server }) => server),
     noticeBornAt: notices.map(({ bornAt }) => bornAt),
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -24,6 +24,8 @@
   repeatRatio: number;
   repeatSlack: number;
   repeatWindowS: number;
+  /** Window over which the limits of client accounts hold, in seconds. */
+  limitWindowS: number;
 }
 
 /** Settings of one process. Addresses are `IP:port`. */
@@ -65,6 +67,8 @@
   typeof value === 'string' && isAddress(value) ? undefined : 'expected "IP:port"';
 const checkNonNegativeNumber: Check = (value) =>
   typeof value === 'number' && value >= 0 ? undefined : 'expected a number from 0 up';
+const checkPositiveNumber: Check = (value) =>
+  typeof value === 'number' && value > 0 ? undefined : 'expected a number above 0';
 const checkLevel: Check = (value) =>
   value === undefined || LOG_LEVELS.includes(value as string)
     ? undefined
@@ -94,6 +98,7 @@
   repeatRatio: checkNonNegativeNumber,
   repeatSlack: checkNonNegativeNumber,
   repeatWindowS: checkNonNegativeNumber,
+  limitWindowS: checkPositiveNumber,
 };
 
 /** Parses the settings of an entry. */
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -185,6 +185,7 @@
       repeatRatio: 0.2,
       repeatSlack: 60,
       repeatWindowS: 10,
+      limitWindowS: 8,
     },
   };
 }
--- a/packages/gateway/test/platform-state.test.ts
+++ b/packages/gateway/test/platform-state.test.ts
@@ -23,6 +23,7 @@
   running: [],
   accounts: [],
   units: [],
+  askedUnits: [],
   version: 0,
   noticeServers: [],
   noticeBornAt: [],
--- a/packages/gateway/test/server-notices.test.ts
+++ b/packages/gateway/test/server-notices.test.ts
@@ -72,6 +72,7 @@
       running: [],
       accounts: [],
       units: [],
+      askedUnits: [],
       version: 0,
       noticeServers: ['i-0', 'i-1'],
       noticeBornAt: [1, 0],
--- a/packages/gateway/test/settings.test.ts
+++ b/packages/gateway/test/settings.test.ts
@@ -20,6 +20,7 @@
   'bounds.retry_budget_ratio': '0.2',
   'bounds.retry_budget_slack': '58',
   'bounds.budget_window_s': '10',
+  'bounds.quota_window_s': '8',
 };
 
 function renderTemplate(name: string): string {
--- a/packages/gateway/test/sharing.test.ts
+++ b/packages/gateway/test/sharing.test.ts
@@ -4,6 +4,7 @@
 import { createSystemClock } from '@masticbend/kernel/clock';
 import { createSilentLogger } from '@masticbend/kernel/log';
 import { createStore } from '@masticbend/platform/store';
+import type { AccountUsage } from '@masticbend/scheduling/shared-limit';
 import { createMembers, type Members } from '../src/members.js';
 import { createPeerMesh, type PeerMesh, type PeerReport } from '../src/peer-mesh.js';
 import { createEraStore, type EraStore } from '../src/store-era.js';
@@ -19,7 +20,7 @@
 interface Entry {
   members: Members;
   mesh: PeerMesh;
-  admitted: Map<string, number>;
+  usage: Map<string, AccountUsage>;
   received: number;
   livePeers: number;
   stop: () => void;
@@ -36,9 +37,9 @@
     const log = createSilentLogger();
     const self = { instance: `entry-${index}`, address: `127.0.0.${index}:${PORT}` };
     const incarnation = `${index}-${performance.now()}`;
-    const admitted = new Map<string, number>();
+    const usage = new Map<string, AccountUsage>();
     const entry: Entry = {
-      admitted,
+      usage,
       received: 0,
       livePeers: 0,
       members: createMembers({
@@ -56,9 +57,9 @@
         incarnation,
         clock,
         log,
-        describeState: () => ({ running: new Map(), admitted, version: 1, notices: [] }),
+        describeState: () => ({ running: new Map(), usage, version: 1, notices: [] }),
         onReport(_peer, report: PeerReport) {
-          entry.received += report.admitted.get('bakery') ?? 0;
+          entry.received += report.usage.get('bakery')?.admitted ?? 0;
         },
         onLost: () => undefined,
         onRound(livePeers) {
@@ -75,6 +76,10 @@
     return entry;
   }
 
+  function recordAdmitted({ usage }: Entry, units: number): void {
+    usage.set('bakery', { admitted: units, asked: units });
+  }
+
   beforeEach(async () => {
     standIn = await startStoreStandIn();
     store = createEraStore(createStore(standIn.address));
@@ -90,13 +95,13 @@
 
   it('receive each unit that a peer admits exactly once', async () => {
     const [first, second, third] = entries as [Entry, Entry, Entry];
-    first.admitted.set('bakery', 500);
+    recordAdmitted(first, 500);
     await waitUntil(() => second.received === 500 && third.received === 500);
-    first.admitted.set('bakery', 700);
-    second.admitted.set('bakery', 40);
+    recordAdmitted(first, 700);
+    recordAdmitted(second, 40);
     await waitUntil(() => third.received === 740 && first.received === 40);
     // A request that did not run refunds its units.
-    first.admitted.set('bakery', 650);
+    recordAdmitted(first, 650);
     await waitUntil(() => third.received === 690);
   });
 
@@ -111,14 +116,14 @@
 
   it('do not count units that a restarted peer admitted before its first report', async () => {
     const [first, , third] = entries as [Entry, Entry, Entry];
-    third.admitted.set('bakery', 100);
+    recordAdmitted(third, 100);
     await waitUntil(() => first.received === 100);
     third.stop();
     await waitUntil(() => first.livePeers === 1);
     const restarted = await startEntry(3);
     entries[2] = restarted;
     await waitUntil(() => first.livePeers === 2);
-    restarted.admitted.set('bakery', 30);
+    recordAdmitted(restarted, 30);
     await waitUntil(() => first.received === 130);
   });
 
--- a/packages/protocol/src/gateway-message.ts
+++ b/packages/protocol/src/gateway-message.ts
@@ -10,7 +10,8 @@
 
 /**
  * Entry → entry: the sender's running requests by backend server, and the units that it admitted by
- * account. `running` and `units` are in the order of `servers` and `accounts`. On backend servers
+ * account. `running` is in the order of `servers`, `units` and
+ * `askedUnits` in that of `accounts`. On backend servers
  * that are not listed, none of the sender's requests runs.
  */
 export interface PeerReportMessage {
@@ -18,8 +19,9 @@
   servers: string[];
   running: number[];
   accounts: string[];
-  /** Units admitted since the sender's start. */
+  /** Units admitted and units asked for since the sender's start. */
   units: number[];
+  askedUnits: number[];
   /** Version of the configuration in force at the sender; 0 for none. */
   version: number;
   /**
--- a/packages/protocol/src/shape.ts
+++ b/packages/protocol/src/shape.ts
@@ -161,6 +161,7 @@
     running: createListCheck(isNonNegativeInteger),
     accounts: createListCheck(isText),
     units: createListCheck(isFiniteNumber),
+    askedUnits: createListCheck(isNonNegativeNumber),
     version: isNonNegativeInteger,
     noticeServers: createListCheck(isText),
     noticeBornAt: createListCheck(isFiniteNumber),
--- a/packages/scheduling/src/shared-limit.ts
+++ b/packages/scheduling/src/shared-limit.ts
@@ -1,15 +1,33 @@
 /**
- * Rate limits of client accounts, enforced across all instances. Each instance keeps a token bucket
- * for each account and deducts both what it admits itself and what its peers report. An instance
- * that receives reports from only some peers fills its buckets at the corresponding share of the
- * rate, so that the sides of a network partition together stay within the limit.
+ * Rate limits of client accounts, enforced across all instances. In any window of the configured
+ * length, an account may use its rate times the window plus its burst. Each instance counts what it
+ * admits itself and what its peers report, and admits a request within three bounds:
+ *
+ * - the sum over the window;
+ * - a token bucket of the whole limit, which spreads the window's units evenly;
+ * - while that bucket is low, a bucket of its own, filled in proportion to its part of the demand.
+ *   Otherwise all instances would use the same free units before they hear of each other.
+ *
+ * An instance that receives reports from only some peers uses the corresponding share of the limit,
+ * so that the sides of a network partition together stay within it.
  */
 import { LimitUnit, type AccountLimit } from '@masticbend/settings/routing';
+import { computeCountedMs, createUsageWindow, type UsageWindow } from './usage-window.js';
 
-/** Maximum advised wait, also used when the bucket never fills, in milliseconds. */
+/** Maximum advised wait, also used when the limit never admits, in milliseconds. */
 const MAX_RETRY_AFTER_MS = 10_000;
+/** Level of the common bucket, as a fraction of the burst, below which an instance's own binds. */
+const LOW_LEVEL_FRACTION = 0.5;
+/** Time in which an instance's own bucket fills. */
+const OWN_BUCKET_MS = 500;
 
-/** Buckets of all accounts. Times are monotonic, in milliseconds. */
+/** Units since an instance's start: those of admitted requests, less refunds, and of all. */
+export interface AccountUsage {
+  admitted: number;
+  asked: number;
+}
+
+/** Limits of all accounts. Times are monotonic, in milliseconds. */
 export interface SharedLimits {
   /**
    * Applies the accounts' limits; buckets of new accounts start empty, removed accounts are
@@ -20,98 +38,174 @@
   tryTake: (now: number, account: string, limit: AccountLimit, units: number) => number | undefined;
   /** Refunds the units of a request that did not run. */
   refund: (now: number, account: string, units: number) => void;
-  /** Deducts units that a peer has admitted. */
-  recordPeerAdmitted: (now: number, account: string, units: number) => void;
+  /** Records what a peer has used since its last report. */
+  recordPeerUsage: (now: number, account: string, usage: AccountUsage) => void;
   /** Sets the fraction of all instances in contact with this one, itself included: 0 to 1. */
   setShare: (now: number, share: number) => void;
-  /** Units that this instance has admitted since its start, less those refunded. */
-  listAdmitted: () => ReadonlyMap<string, number>;
+  /** What this instance has used since its start, by account. */
+  listUsage: () => ReadonlyMap<string, AccountUsage>;
   dump: () => unknown;
 }
 
-interface Bucket {
+interface Account {
   limit: AccountLimit;
+  /** Level of the common bucket; negative after peers have used more than was left. */
   level: number;
+  /** Level of this instance's own bucket. */
+  ownLevel: number;
   filledAt: number;
+  /** Units used by all instances. */
+  used: UsageWindow;
+  /** Units asked for here, and at the peers. */
+  asked: UsageWindow;
+  askedAtPeers: UsageWindow;
 }
 
-/** Returns limits without buckets; a new bucket is empty, as usage before a restart is unknown. */
-export function createSharedLimits(): SharedLimits {
-  const buckets = new Map<string, Bucket>();
-  const admitted = new Map<string, number>();
+/**
+ * Returns limits without accounts. New buckets are empty, as usage before a restart is unknown.
+ */
+export function createSharedLimits(windowMs: number): SharedLimits {
+  const accounts = new Map<string, Account>();
+  const usage = new Map<string, AccountUsage>();
   let share = 0;
 
-  function refreshLevel(now: number, bucket: Bucket): void {
-    const { ratePerSecond, burst } = bucket.limit;
-    const elapsedS = Math.max(0, now - bucket.filledAt) / 1_000;
-    bucket.level = Math.min(burst * share, bucket.level + elapsedS * ratePerSecond * share);
-    bucket.filledAt = now;
+  /** Units that an account may use in one window. */
+  function computeWindowUnits({ ratePerSecond, burst }: AccountLimit): number {
+    return (ratePerSecond * windowMs) / 1_000 + burst;
+  }
+
+  /** Units by which the common bucket is filled in a millisecond; the window allows no more. */
+  function computeFillRate(limit: AccountLimit): number {
+    return (computeWindowUnits(limit) / computeCountedMs(windowMs)) * share;
   }
 
-  function findBucket(now: number, account: string, limit: AccountLimit): Bucket {
-    const known = buckets.get(account);
-    if (known) {
-      refreshLevel(now, known);
-      known.limit = limit;
-      known.level = Math.min(known.level, limit.burst * share);
-      return known;
+  /** Returns this instance's part of the recent demand, 0 to 1. */
+  function computeOwnPart(now: number, { asked, askedAtPeers }: Account): number {
+    const peerRate = askedAtPeers.getRecentRate(now);
+    if (peerRate <= 0) return 1;
+    const ownRate = asked.getRecentRate(now);
+    return ownRate / (ownRate + peerRate);
+  }
+
+  function fill(now: number, account: Account): void {
+    const { limit, filledAt } = account;
+    const fillRate = computeFillRate(limit);
+    const ownRate = fillRate * computeOwnPart(now, account);
+    const elapsedMs = Math.max(0, now - filledAt);
+    account.level = Math.min(limit.burst * share, account.level + elapsedMs * fillRate);
+    account.ownLevel = Math.min(ownRate * OWN_BUCKET_MS, account.ownLevel + elapsedMs * ownRate);
+    account.filledAt = now;
+  }
+
+  function setLimit(now: number, name: string, limit: AccountLimit): Account {
+    const known = accounts.get(name);
+    if (!known) {
+      const account = createAccount(now, limit, windowMs);
+      accounts.set(name, account);
+      return account;
     }
-    const bucket = { limit, level: 0, filledAt: now };
-    buckets.set(account, bucket);
-    return bucket;
+    fill(now, known);
+    const ratio = computeWindowUnits(limit) / computeWindowUnits(known.limit);
+    // Usage under a higher limit was allowed and is not held against the lower one.
+    if (ratio < 1) known.used.scale(ratio);
+    known.limit = limit;
+    known.level = Math.min(known.level, limit.burst * share);
+    return known;
   }
 
-  function addAdmitted(account: string, units: number): void {
-    admitted.set(account, (admitted.get(account) ?? 0) + units);
+  function addUsage(name: string, admitted: number, asked: number): void {
+    const known = usage.get(name) ?? { admitted: 0, asked: 0 };
+    usage.set(name, { admitted: known.admitted + admitted, asked: known.asked + asked });
+  }
+
+  /** Returns the time until the common bucket has enough units, in milliseconds. */
+  function computeBucketWaitMs({ limit, level }: Account, units: number): number {
+    // A request larger than the bucket is admitted when it is full; the level turns negative.
+    const neededUnits = Math.min(units, limit.burst * share);
+    return Math.max(0, neededUnits - level) / computeFillRate(limit);
+  }
+
+  function computeOwnWaitMs(now: number, account: Account, units: number): number {
+    const { limit, level, ownLevel } = account;
+    if (level >= limit.burst * share * LOW_LEVEL_FRACTION) return 0;
+    const ownRate = computeFillRate(limit) * computeOwnPart(now, account);
+    const neededUnits = Math.min(units, ownRate * OWN_BUCKET_MS);
+    return neededUnits > ownLevel ? (neededUnits - ownLevel) / ownRate : 0;
+  }
+
+  function computeWindowWaitMs(now: number, { limit, used }: Account, units: number): number {
+    return used.findTimeUntil(now, Math.max(0, computeWindowUnits(limit) * share - units));
   }
 
   return {
     setLimits(now, next) {
-      for (const [account, limit] of next) findBucket(now, account, limit);
-      for (const account of buckets.keys()) if (!next.has(account)) buckets.delete(account);
+      for (const [name, limit] of next) setLimit(now, name, limit);
+      for (const name of accounts.keys()) if (!next.has(name)) accounts.delete(name);
     },
-    tryTake(now, account, limit, units) {
-      const bucket = findBucket(now, account, limit);
-      // A request larger than the bucket is admitted when the bucket is full; the level turns
-      // negative.
-      const neededUnits = Math.min(units, limit.burst * share);
-      if (share > 0 && bucket.level >= neededUnits) {
-        bucket.level -= units;
-        addAdmitted(account, units);
-        return undefined;
-      }
-      const rate = limit.ratePerSecond * share;
-      if (rate <= 0) return MAX_RETRY_AFTER_MS;
-      return Math.min(MAX_RETRY_AFTER_MS, ((neededUnits - bucket.level) / rate) * 1_000);
+    tryTake(now, name, limit, units) {
+      const account = accounts.get(name) ?? setLimit(now, name, limit);
+      account.asked.add(now, units);
+      addUsage(name, 0, units);
+      if (account.limit === limit) fill(now, account);
+      else setLimit(now, name, limit);
+      if (computeFillRate(limit) <= 0) return MAX_RETRY_AFTER_MS;
+      const waitMs = Math.max(
+        computeBucketWaitMs(account, units),
+        computeOwnWaitMs(now, account, units),
+        computeWindowWaitMs(now, account, units),
+      );
+      if (waitMs > 0) return Math.min(MAX_RETRY_AFTER_MS, waitMs);
+      account.level -= units;
+      account.ownLevel = Math.max(0, account.ownLevel - units);
+      account.used.add(now, units);
+      addUsage(name, units, 0);
+      return undefined;
     },
-    refund(now, account, units) {
-      const bucket = buckets.get(account);
-      if (!bucket) return;
-      refreshLevel(now, bucket);
-      bucket.level = Math.min(bucket.limit.burst * share, bucket.level + units);
-      addAdmitted(account, -units);
+    refund(now, name, units) {
+      const account = accounts.get(name);
+      if (!account) return;
+      fill(now, account);
+      account.level = Math.min(account.limit.burst * share, account.level + units);
+      account.ownLevel += units;
+      account.used.remove(now, units);
+      addUsage(name, -units, 0);
     },
-    recordPeerAdmitted(now, account, units) {
-      const bucket = buckets.get(account);
-      if (!bucket) return;
-      refreshLevel(now, bucket);
-      bucket.level = Math.min(bucket.limit.burst * share, bucket.level - units);
+    recordPeerUsage(now, name, { admitted, asked }) {
+      const account = accounts.get(name);
+      if (!account) return;
+      fill(now, account);
+      account.level = Math.min(account.limit.burst * share, account.level - admitted);
+      account.askedAtPeers.add(now, asked);
+      if (admitted > 0) account.used.add(now, admitted);
+      else account.used.remove(now, -admitted);
     },
     setShare(now, next) {
-      for (const bucket of buckets.values()) refreshLevel(now, bucket);
+      for (const account of accounts.values()) fill(now, account);
       share = next;
-      for (const bucket of buckets.values()) {
-        bucket.level = Math.min(bucket.level, bucket.limit.burst * share);
+      for (const account of accounts.values()) {
+        account.level = Math.min(account.level, account.limit.burst * share);
       }
     },
-    listAdmitted: () => admitted,
+    listUsage: () => usage,
     dump: () => ({
       share,
-      levels: Object.fromEntries([...buckets].map(([name, { level }]) => [name, level])),
+      levels: Object.fromEntries([...accounts].map(([name, { level }]) => [name, level])),
     }),
   };
 }
 
+function createAccount(now: number, limit: AccountLimit, windowMs: number): Account {
+  return {
+    limit,
+    level: 0,
+    ownLevel: 0,
+    filledAt: now,
+    used: createUsageWindow(windowMs),
+    asked: createUsageWindow(windowMs),
+    askedAtPeers: createUsageWindow(windowMs),
+  };
+}
+
 /** Returns the units that a request takes from its account's limit. */
 export function countUnits(limit: AccountLimit, promptTokens?: number, outputTokens = 0): number {
   if (limit.unit === LimitUnit.Requests) return 1;
--- a/packages/scheduling/test/shared-limit.test.ts
+++ b/packages/scheduling/test/shared-limit.test.ts
@@ -7,7 +7,13 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { LimitUnit, type AccountLimit } from '@masticbend/settings/routing';
-import { countUnits, createSharedLimits, type SharedLimits } from '../src/shared-limit.js';
+import {
+  countUnits,
+  createSharedLimits,
+  type AccountUsage,
+  type SharedLimits,
+} from '../src/shared-limit.js';
+import { computeCountedMs } from '../src/usage-window.js';
 
 const LIMIT: AccountLimit = {
   unit: LimitUnit.Tokens,
@@ -26,6 +32,13 @@
 /** Fixed allowance in the bound, scaled to the rate like the platform's. */
 const SLACK = 9_000;
 const SEED = 20_261;
+const WINDOW_UNITS = LIMIT.ratePerSecond * (WINDOW_MS / 1_000) + LIMIT.burst;
+/** Units a second that an account may use all the time. */
+const SUSTAINED_UNITS_PER_S = (WINDOW_UNITS / computeCountedMs(WINDOW_MS)) * 1_000;
+
+const NO_USAGE: AccountUsage = { admitted: 0, asked: 0 };
+
+const createLimits = () => createSharedLimits(WINDOW_MS);
 
 interface Partition {
   at: number;
@@ -33,14 +46,23 @@
   isolated: number;
 }
 
+/** How often each instance tries in a step, and how late its reports are. */
+interface Load {
+  countTries: (step: number, instance: number) => number;
+  reportSteps: number;
+}
+
+const HEAVY_LOAD: Load = { countTries: () => 3, reportSteps: REPORT_INTERVAL_STEPS };
+
 /** Simulates instances that all request far more than the limit; returns units admitted by step. */
 function runInstances(
   count: number,
   partitions: Partition[],
   create: () => SharedLimits,
+  { countTries, reportSteps }: Load = HEAVY_LOAD,
 ): number[] {
   const instances = Array.from({ length: count }, create);
-  const reported = instances.map(() => instances.map(() => 0));
+  const reported = instances.map(() => instances.map(() => NO_USAGE));
   for (const instance of instances) {
     instance.setShare(0, 1);
     instance.setLimits(0, new Map([[ACCOUNT, LIMIT]]));
@@ -56,16 +78,20 @@
     instances.forEach((instance, index) => {
       const connected = instances.filter((_, other) => areConnected(index, other)).length;
       instance.setShare(now, (isDetected ? connected : count) / count);
-      for (let tries = 0; tries < 3; tries += 1) {
+      for (let tries = 0; tries < countTries(step, index); tries += 1) {
         if (instance.tryTake(now, ACCOUNT, LIMIT, 500) === undefined) units += 500;
       }
     });
-    if (step % REPORT_INTERVAL_STEPS === 0) {
+    if (step % reportSteps === 0) {
       instances.forEach((instance, index) => {
-        const total = instance.listAdmitted().get(ACCOUNT) ?? 0;
+        const total = instance.listUsage().get(ACCOUNT) ?? NO_USAGE;
         instances.forEach((other, peer) => {
           if (peer === index || !areConnected(index, peer)) return;
-          other.recordPeerAdmitted(now, ACCOUNT, total - reported[index]![peer]!);
+          const { admitted: known, asked } = reported[index]![peer]!;
+          other.recordPeerUsage(now, ACCOUNT, {
+            admitted: total.admitted - known,
+            asked: total.asked - asked,
+          });
           reported[index]![peer] = total;
         });
       });
@@ -86,7 +112,7 @@
   return largest;
 }
 
-const BOUND = (LIMIT.ratePerSecond * (WINDOW_MS / 1_000) + LIMIT.burst) * (1 + TOLERANCE) + SLACK;
+const BOUND = WINDOW_UNITS * (1 + TOLERANCE) + SLACK;
 
 const partitionsOf = (count: number) =>
   fc.array(
@@ -102,7 +128,7 @@
   it('hold over all instances under random partitions', () => {
     fc.assert(
       fc.property(partitionsOf(6), (partitions) => {
-        const largest = findLargestWindow(runInstances(6, partitions, createSharedLimits));
+        const largest = findLargestWindow(runInstances(6, partitions, createLimits));
         return largest <= BOUND;
       }),
       { seed: SEED, numRuns: 40 },
@@ -111,7 +137,7 @@
 
   it('would not hold if an isolated instance kept the whole rate', () => {
     const createGreedy = () => {
-      const limits = createSharedLimits();
+      const limits = createLimits();
       return { ...limits, setShare: (now: number) => limits.setShare(now, 1) };
     };
     const partitions = [{ at: 100, steps: 2_800, isolated: 0 }];
@@ -119,31 +145,72 @@
   });
 
   it('admit the whole rate across instances without a partition', () => {
-    const admitted = runInstances(6, [], createSharedLimits);
+    const admitted = runInstances(6, [], createLimits);
     const perSecond = admitted.slice(1_000).reduce((sum, units) => sum + units, 0) / 20;
-    expect(perSecond).to.be.within(LIMIT.ratePerSecond * 0.95, LIMIT.ratePerSecond * 1.05);
+    expect(perSecond).to.be.within(SUSTAINED_UNITS_PER_S * 0.95, SUSTAINED_UNITS_PER_S * 1.05);
+  });
+
+  it('serve an account that asks for more than its limit evenly, without long gaps', () => {
+    const admitted = runInstances(6, [], createLimits).slice(1_000);
+    const stepsPerSecond = 1_000 / STEP_MS;
+    for (let second = 0; second + 1 < admitted.length / stepsPerSecond; second += 1) {
+      const units = admitted
+        .slice(second * stepsPerSecond, (second + 1) * stepsPerSecond)
+        .reduce((sum, each) => sum + each, 0);
+      expect(units).to.be.within(SUSTAINED_UNITS_PER_S * 0.6, SUSTAINED_UNITS_PER_S * 1.4);
+    }
+  });
+
+  it('hold over many instances whose reports are late while an account asks for far more', () => {
+    const load: Load = {
+      // 50,000 units a second over all, five times the rate; each instance tries in turn.
+      countTries: (step, instance) => (instance === (step * 7) % 68 ? 1 : 0),
+      reportSteps: 25,
+    };
+    const admitted = runInstances(68, [], createLimits, load);
+    expect(findLargestWindow(admitted)).to.be.at.most(BOUND);
+  });
+
+  it('go on serving an account whose limit was lowered far below its usage', () => {
+    const limits = createLimits();
+    limits.setShare(0, 1);
+    limits.setLimits(0, new Map([[ACCOUNT, LIMIT]]));
+    const lowered = { ...LIMIT, ratePerSecond: LIMIT.ratePerSecond / 4 };
+    const loweredPerS = lowered.ratePerSecond + lowered.burst / (WINDOW_MS / 1_000);
+    let units = 0;
+    for (let now = 0; now < 12_000; now += STEP_MS) {
+      const limit = now < 10_000 ? LIMIT : lowered;
+      if (now === 10_000) limits.setLimits(now, new Map([[ACCOUNT, limit]]));
+      const isAdmitted = limits.tryTake(now, ACCOUNT, limit, 100) === undefined;
+      if (isAdmitted && now >= 10_000) units += 100;
+    }
+    expect(units / 2).to.be.at.least(loweredPerS * 0.8);
   });
 
   it('start empty and return the time until a retry can succeed', () => {
-    const limits = createSharedLimits();
+    const limits = createLimits();
     limits.setShare(0, 1);
     limits.setLimits(0, new Map([[ACCOUNT, LIMIT]]));
-    expect(limits.tryTake(0, ACCOUNT, LIMIT, 1_000)).to.equal(100);
-    expect(limits.tryTake(100, ACCOUNT, LIMIT, 1_000)).to.equal(undefined);
-    expect(limits.tryTake(100, ACCOUNT, LIMIT, 1_000)).to.equal(100);
+    const waitMs = 1_000 / (SUSTAINED_UNITS_PER_S / 1_000);
+    expect(limits.tryTake(0, ACCOUNT, LIMIT, 1_000)).to.be.closeTo(waitMs, 1e-6);
+    expect(limits.tryTake(95, ACCOUNT, LIMIT, 1_000)).to.equal(undefined);
+    expect(limits.tryTake(95, ACCOUNT, LIMIT, 1_000)).to.be.closeTo(2 * waitMs - 95, 1e-6);
   });
 
   it('admit a request larger than the bucket once the bucket is full', () => {
-    const limits = createSharedLimits();
+    const limits = createLimits();
     limits.setShare(0, 1);
     limits.setLimits(0, new Map([[ACCOUNT, LIMIT]]));
-    expect(limits.tryTake(500, ACCOUNT, LIMIT, 30_000)).to.equal(500);
+    const fullAtMs = (LIMIT.burst / SUSTAINED_UNITS_PER_S) * 1_000;
+    expect(limits.tryTake(500, ACCOUNT, LIMIT, 30_000)).to.be.closeTo(fullAtMs - 500, 1e-6);
     expect(limits.tryTake(1_000, ACCOUNT, LIMIT, 30_000)).to.equal(undefined);
-    expect(limits.tryTake(2_000, ACCOUNT, LIMIT, 500)).to.be.above(1_000);
+    const level = LIMIT.burst - 30_000 + SUSTAINED_UNITS_PER_S;
+    const waitMs = ((500 - level) / SUSTAINED_UNITS_PER_S) * 1_000;
+    expect(limits.tryTake(2_000, ACCOUNT, LIMIT, 500)).to.be.closeTo(waitMs, 1e-6);
   });
 
   it('admit nothing while the share of the limit is 0', () => {
-    const limits = createSharedLimits();
+    const limits = createLimits();
     limits.setLimits(0, new Map([[ACCOUNT, LIMIT]]));
     expect(limits.tryTake(5_000, ACCOUNT, LIMIT, 1)).to.be.above(0);
   });
--- a/scripts/start-cost.mjs
+++ b/scripts/start-cost.mjs
@@ -29,6 +29,7 @@
 repeatRatio = 0.2
 repeatSlack = 58
 repeatWindowS = 10
+limitWindowS = 8
 `,
 );
 
