--- a/packages/scheduling/src/shared-limit.ts
+++ b/packages/scheduling/src/shared-limit.ts
@@ -87,7 +87,7 @@
     return ownRate / (ownRate + peerRate);
   }
 
-  function fill(now: number, account: Account): void {
+  function refreshLevels(now: number, account: Account): void {
     const { limit, filledAt } = account;
     const fillRate = computeFillRate(limit);
     const ownRate = fillRate * computeOwnPart(now, account);
@@ -104,7 +104,7 @@
       accounts.set(name, account);
       return account;
     }
-    fill(now, known);
+    refreshLevels(now, known);
     const ratio = computeWindowUnits(limit) / computeWindowUnits(known.limit);
     // Usage under a higher limit was allowed and is not held against the lower one.
     if (ratio < 1) known.used.scale(ratio);
@@ -146,7 +146,7 @@
       const account = accounts.get(name) ?? setLimit(now, name, limit);
       account.asked.add(now, units);
       addUsage(name, 0, units);
-      if (account.limit === limit) fill(now, account);
+      if (account.limit === limit) refreshLevels(now, account);
       else setLimit(now, name, limit);
       if (computeFillRate(limit) <= 0) return MAX_RETRY_AFTER_MS;
       const waitMs = Math.max(
@@ -164,7 +164,7 @@
     refund(now, name, units) {
       const account = accounts.get(name);
       if (!account) return;
-      fill(now, account);
+      refreshLevels(now, account);
       account.level = Math.min(account.limit.burst * share, account.level + units);
       account.ownLevel += units;
       account.used.remove(now, units);
@@ -173,14 +173,14 @@
     recordPeerUsage(now, name, { admitted, asked }) {
       const account = accounts.get(name);
       if (!account) return;
-      fill(now, account);
+      refreshLevels(now, account);
       account.level = Math.min(account.limit.burst * share, account.level - admitted);
       account.askedAtPeers.add(now, asked);
       if (admitted > 0) account.used.add(now, admitted);
       else account.used.remove(now, -admitted);
     },
     setShare(now, next) {
-      for (const account of accounts.values()) fill(now, account);
+      for (const account of accounts.values()) refreshLevels(now, account);
       share = next;
       for (const account of accounts.values()) {
         account.level = Math.min(account.level, account.limit.burst * share);
--- a/packages/scheduling/src/usage-window.ts
+++ b/packages/scheduling/src/usage-window.ts
@@ -34,7 +34,7 @@
   let newestSlot = 0;
 
   /** Clears the slots that have left the window; returns the newest slot's number. */
-  function advance(now: number): number {
+  function dropPassed(now: number): number {
     const slot = Math.max(newestSlot, Math.floor(now / slotMs));
     const passed = Math.min(slots.length, slot - newestSlot);
     for (let offset = 0; offset < passed; offset += 1) slots[(slot - offset) % slots.length] = 0;
@@ -48,10 +48,10 @@
 
   return {
     add(now, units) {
-      slots[advance(now) % slots.length]! += units;
+      slots[dropPassed(now) % slots.length]! += units;
     },
     remove(now, units) {
-      const newest = advance(now);
+      const newest = dropPassed(now);
       let left = units;
       for (let offset = 0; offset < slots.length && left > 0; offset += 1) {
         const taken = Math.min(left, getUnits(newest - offset));
@@ -65,7 +65,7 @@
       });
     },
     findTimeUntil(now, units) {
-      const newest = advance(now);
+      const newest = dropPassed(now);
       let excess = slots.reduce((sum, each) => sum + each, 0) - units;
       if (excess <= 0) return 0;
       for (let slot = newest - SLOTS_PER_WINDOW; slot <= newest; slot += 1) {
@@ -75,7 +75,7 @@
       return windowMs;
     },
     getRecentRate(now) {
-      const newest = advance(now);
+      const newest = dropPassed(now);
       let units = 0;
       for (let offset = 0; offset < RECENT_SLOTS; offset += 1) units += getUnits(newest - offset);
       return units / (RECENT_SLOTS * slotMs);
