Store reads through a few readers; members by connection

Change: from 9 entries up, three of them read the tables at 0.4 of the interval and the others read from these over the mesh, with the age of the rows; an answer that is late, old, behind or of an earlier era sends the entry to the store at once. An entry that the store does not answer reads from peers, whatever its role. A connected entry stays a member without a read of its row; the list is read every 7.5 s while all are connected. Renewal every 3 s (was 2.5 s).

Ruled out: vouching one-way for a read's time; a delayed message would make old rows look fresh. The age is counted from the follower's own question.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,12 +26,14 @@
 import { createMembers, type Members } from './members.js';
 import { createPeerMesh, type PeerMesh } from './peer-mesh.js';
 import { createPermitClient, type PermitClient } from './permit-client.js';
+import { createRelayedStore } from './relayed-store.js';
 import { createRequests, type Requests } from './requests.js';
 import { createServerNotices, type ServerNotices } from './server-notices.js';
 import { createServersService } from './servers-service.js';
 import type { GatewayServices } from './services.js';
 import type { GatewaySettings } from './settings.js';
 import { createEraStore, type EraStore } from './store-era.js';
+import { createTableRelay, type TableRelay } from './table-relay.js';
 import { createViewService } from './view-service.js';
 
 /** Time after SIGTERM within which the load balancer reliably detects that the entry stops. */
@@ -70,6 +72,7 @@
   kernel.provide('log', () => log);
   kernel.provide('metrics', () => createMetrics(clock));
   kernel.provide('store', () => createStoreService(kernel, settings.storeAddress));
+  kernel.provide('relay', () => createRelayService(kernel, settings));
   kernel.provide('client', createClientService);
   kernel.provide('board', () => createServerPool(settings.dataCentre));
   kernel.provide('limits', () => createSharedLimits(settings.bounds.limitWindowS * 1_000));
@@ -129,12 +132,35 @@
   address: string,
 ): EraStore & Lifecycle {
   const clock = kernel.find('clock');
-  const store = createEraStore(
-    createMeasuredStore(createStore(address), clock, kernel.find('metrics')),
+  const measured = createMeasuredStore(createStore(address), clock, kernel.find('metrics'));
+  const store: EraStore = createEraStore(
+    createRelayedStore(
+      measured,
+      () => kernel.find('relay'),
+      () => store.getEra(),
+    ),
   );
   return { ...store, stop: store.close };
 }
 
+function createRelayService(
+  kernel: Kernel<GatewayServices>,
+  { instance }: GatewaySettings,
+): TableRelay {
+  return createTableRelay({
+    self: instance,
+    clock: kernel.find('clock'),
+    log: kernel.find('log'),
+    listOthers: () =>
+      kernel
+        .find('members')
+        .listOthers()
+        .map((member) => member.instance),
+    listLive: () => kernel.find('mesh').listLive(),
+    send: (peer, message) => kernel.find('mesh').send(peer, message),
+  });
+}
+
 function createClientService(): BackendClient & Lifecycle {
   const client = createBackendClient();
   return { ...client, stop: client.close };
@@ -220,6 +246,7 @@
     getElapsed,
     log: kernel.find('log'),
     drawRandom: Math.random,
+    listLive: () => kernel.find('mesh').listLive(),
     onChange: () => kernel.find('mesh').setMembers(members.listOthers()),
   });
   return members;
@@ -276,6 +303,7 @@
       for (const [name, used] of usage) limits.recordPeerUsage(clock.now(), name, used);
       kernel.find('requests').sendWaiting();
     },
+    onTableMessage: (peer, message) => kernel.find('relay').receive(peer, message),
     onLost: (peer) => serverPool.setPeerLoad(peer, new Map()),
     onRound: updateShare,
   });
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -12,8 +12,13 @@
 
 /** Table of the entries; the key is the instance name. */
 const MEMBERS_TABLE = 'entries';
-/** Interval at which the row is renewed and the table is read. */
-const RENEWAL_INTERVAL_MS = 2_500;
+/** Interval at which the row is renewed. */
+const RENEWAL_INTERVAL_MS = 3_000;
+/**
+ * Interval at which the table is read while all known entries are connected; otherwise it is read
+ * at each renewal. An entry that is connected needs no renewal of its row to remain a member.
+ */
+const CONNECTED_READ_INTERVAL_MS = 7_500;
 /** Delay of the renewal after a restoration of the store: a random part of this time. */
 const REWRITE_SPREAD_MS = 500;
 /** Delay after a failed renewal or read. */
@@ -55,6 +60,8 @@
   getElapsed: () => number;
   log: Logger;
   drawRandom: () => number;
+  /** Names of the entries that are connected and report. */
+  listLive: () => string[];
   onChange: () => void;
 }
 
@@ -65,9 +72,11 @@
 
 /** Returns a membership whose row has not been written yet. */
 export function createMembers(options: MembersOptions): Members {
-  const { store, self, incarnation, clock, getElapsed, log, drawRandom, onChange } = options;
+  const { store, self, incarnation, clock, getElapsed, log, drawRandom, listLive, onChange } =
+    options;
   const knownMembers = new Map<string, KnownMember>();
   let renewedAt: number | undefined;
+  let readAt = -Infinity;
   /**
    * Set once the table was read after the own row was written: all other members are then known.
    */
@@ -94,6 +103,7 @@
       if (key !== self.instance) updateMember(key, readAddress(value), revision, now);
     }
     isRestored = false;
+    readAt = now;
     dropExpired(now);
     areOthersKnown ||= renewedAt !== undefined;
     return true;
@@ -128,7 +138,7 @@
   async function run(): Promise<void> {
     while (!stopped) {
       const renewed = await refreshLease();
-      const refreshed = await refreshMembers();
+      const refreshed = !isReadDue() || (await refreshMembers());
       const pause = startPause(clock, renewed && refreshed ? chooseDelayMs() : RETRY_DELAY_MS);
       wake = pause.end;
       await pause.ended;
@@ -141,6 +151,19 @@
     clock.startTimer(drawRandom() * REWRITE_SPREAD_MS, () => wake());
   }
 
+  /** Counts connected entries as renewed, and returns whether the table has to be read. */
+  function isReadDue(): boolean {
+    const now = clock.now();
+    const live = new Set(listLive());
+    let areAllLive = true;
+    for (const member of knownMembers.values()) {
+      if (live.has(member.instance)) member.renewedAt = now;
+      else areAllLive = false;
+    }
+    const isKnown = areOthersKnown && areAllLive && !isRestored && knownMembers.size > 0;
+    return !isKnown || now - readAt >= CONNECTED_READ_INTERVAL_MS;
+  }
+
   /**
    * Uses the short delay until another entry is known, so that entries that start together find
    * each other soon.
--- a/packages/gateway/src/peer-mesh.ts
+++ b/packages/gateway/src/peer-mesh.ts
@@ -7,7 +7,12 @@
 import type { Clock } from '@masticbend/kernel/clock';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import { createConnection, type Connection } from '@masticbend/protocol/connection';
-import type { PeerReportMessage } from '@masticbend/protocol/gateway-message';
+import type {
+  PeerReportMessage,
+  TableReadMessage,
+  TableRowsMessage,
+} from '@masticbend/protocol/gateway-message';
+import type { Message } from '@masticbend/protocol/message';
 import type { SharedNotice } from '@masticbend/scheduling/server-notice';
 import type { AccountUsage } from '@masticbend/scheduling/shared-limit';
 import { parseAddress } from '@masticbend/settings/address';
@@ -57,6 +62,10 @@
 export interface PeerMesh {
   start: () => Promise<void>;
   stop: () => void;
+  /** Names of the peers that are live. */
+  listLive: () => string[];
+  /** Sends a message to a connected peer. */
+  send: (peer: string, message: Message) => void;
   setMembers: (members: readonly Member[]) => void;
   dump: () => unknown;
 }
@@ -69,6 +78,7 @@
   log: Logger;
   describeState: () => OwnState;
   onReport: (peer: string, report: PeerReport) => void;
+  onTableMessage: (peer: string, message: TableReadMessage | TableRowsMessage) => void;
   /** The peer is no longer live or connected; its last reports are no longer valid. */
   onLost: (peer: string) => void;
   /** Called in each round of checks and reports, with the number of live peers. */
@@ -109,6 +119,8 @@
           peer = addPeer(message.instance, message.incarnation, connection);
         } else if (message.kind === 'peer-report' && peer) {
           receiveReport(peer, message);
+        } else if (isTableMessage(message) && peer) {
+          options.onTableMessage(peer.instance, message);
         }
       },
       onClose(reason) {
@@ -209,8 +221,8 @@
     for (const { connection } of peers.values()) connection.send(report);
   }
 
-  function countLivePeers(): number {
-    return [...peers.values()].filter(({ isLive }) => isLive).length;
+  function listLive(): string[] {
+    return [...peers.values()].filter(({ isLive }) => isLive).map(({ instance }) => instance);
   }
 
   function runRound(): void {
@@ -218,7 +230,7 @@
     checkPeers(now);
     dialMissingPeers(now);
     sendReports(now);
-    onRound(countLivePeers());
+    onRound(listLive().length);
     stopRoundTimer = clock.startTimer(REPORT_INTERVAL_MS, runRound);
   }
 
@@ -233,6 +245,10 @@
       server?.close();
       for (const peer of [...peers.values()]) peer.connection.close('stopping');
     },
+    listLive,
+    send(peer, message) {
+      peers.get(peer)?.connection.send(message);
+    },
     setMembers(next) {
       members = next;
     },
@@ -243,6 +259,10 @@
   };
 }
 
+function isTableMessage(message: Message): message is TableReadMessage | TableRowsMessage {
+  return message.kind === 'table-read' || message.kind === 'table-rows';
+}
+
 function createReport({ running, usage, version, notices }: OwnState): PeerReportMessage {
   return {
     kind: 'peer-report',
--- a/packages/gateway/src/servers-service.ts
+++ b/packages/gateway/src/servers-service.ts
@@ -81,7 +81,9 @@
     clock,
     getElapsed,
     log,
+    getReadRole: () => kernel.find('relay').getReadRole(),
     events: {
+      onRead: () => kernel.find('relay').answerWaiting(SERVERS_TABLE),
       onTable(rows) {
         const servers = rows.map(({ key, value }) => decodeBackendServer(key, value));
         const usable = servers.filter((server) => server !== undefined);
@@ -93,5 +95,6 @@
     },
   });
   getRevision = feed.getRevision;
+  kernel.find('relay').addTable(SERVERS_TABLE, feed);
   return { ...feed, dump: () => serverPool.listServers().map(({ server }) => server) };
 }
--- a/packages/gateway/src/services.ts
+++ b/packages/gateway/src/services.ts
@@ -15,6 +15,7 @@
 import type { ServerNotices } from './server-notices.js';
 import type { EraStore } from './store-era.js';
 import type { TableFeed } from './table-feed.js';
+import type { TableRelay } from './table-relay.js';
 
 export interface GatewayServices {
   clock: Clock;
@@ -32,6 +33,7 @@
   members: Members & Lifecycle;
   permits: PermitClient & Lifecycle;
   mesh: PeerMesh & Lifecycle;
+  relay: TableRelay & Lifecycle;
   administration: Lifecycle;
 }
 
--- a/packages/gateway/src/table-feed.ts
+++ b/packages/gateway/src/table-feed.ts
@@ -10,15 +10,29 @@
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import { REGISTRATION_GRACE_MS } from '@masticbend/scheduling/server-list';
 import type { ReadResult, Store, StoreRow, StoreRows } from '@masticbend/platform/store';
+import { createTableCopy, type TableCopy } from './table-copy.js';
 
 /** Read interval, as a fraction of the time within which a change must take effect. */
 export const READ_INTERVAL_FRACTION = 0.55;
 /** Longest time for which a read waits at the store for a change (long poll). */
 const MAX_CHANGE_WAIT_MS = 1_000;
+/** Read interval of an entry that reads for others, as a fraction of its own interval. */
+const READER_INTERVAL_FRACTION = 0.4;
+/** Wait for a change of such a read, as a fraction of its interval. */
+const READER_WAIT_FRACTION = 0.3;
+/** Interval of reads from peers and their wait for a change, as fractions of the own interval. */
+const RELAYED_INTERVAL_FRACTION = 0.25;
+const RELAYED_WAIT_FRACTION = 0.25;
+/** Age up to which rows of a peer are used, as a fraction of the own interval. */
+const MAX_RELAYED_AGE_FRACTION = 0.6;
 /** Shortest and longest delay after a failed read. */
 const MIN_RETRY_DELAY_MS = 100;
 const MAX_RETRY_DELAY_MS = 500;
 
+/** Whether an entry reads a table for itself, on behalf of others, or from those that do. */
+export const ReadRole = { Own: 'own', ForOthers: 'for-others', FromPeers: 'from-peers' } as const;
+export type ReadRole = (typeof ReadRole)[keyof typeof ReadRole];
+
 /** Events of a feed. */
 export interface FeedEvents {
   /** All rows of the table. */
@@ -29,12 +43,18 @@
   onReconnected?: () => void;
   /** Called when the store was restored from an older copy, before its rows are reported. */
   onRestored?: () => void;
+  /** Called after each read that was applied. */
+  onRead?: () => void;
 }
 
 /** A running feed. */
 export interface TableFeed {
   /** Time since the last successful read was sent, in milliseconds; undefined before the first. */
   getAgeMs: () => number | undefined;
+  /** The rows, for peers that read them from this entry. */
+  copy: TableCopy;
+  /** Age up to which a peer's rows are used in place of the store's, in milliseconds. */
+  maxRelayedAgeMs: number;
   /** Newest revision read; 0 before the first read and after a loss of history. */
   getRevision: () => number;
   /** The rows that a restored store had lost are known to be written again. */
@@ -55,12 +75,15 @@
   /** Elapsed milliseconds, including time in which the machine was suspended. */
   getElapsed: () => number;
   log: Logger;
+  /** How the entry's reads reach the store. */
+  getReadRole: () => ReadRole;
   events: FeedEvents;
 }
 
 /** Returns a feed that has not read any rows. */
 export function createTableFeed(options: FeedOptions): TableFeed {
-  const { intervalMs, store, table, clock, getElapsed, log, events } = options;
+  const { intervalMs, store, table, clock, getElapsed, log, getReadRole, events } = options;
+  const copy = createTableCopy();
   let revision: number | undefined;
   let era: number | undefined;
   let confirmedAt: number | undefined;
@@ -76,11 +99,30 @@
       revision = undefined;
     }
     if (revision === undefined) return store.readRows(table);
-    return store.readChanges(table, revision, MAX_CHANGE_WAIT_MS);
+    return store.readChanges(table, revision, chooseWaitMs());
+  }
+
+  function chooseWaitMs(): number {
+    const fraction = {
+      [ReadRole.Own]: 1,
+      [ReadRole.ForOthers]: READER_INTERVAL_FRACTION * READER_WAIT_FRACTION,
+      [ReadRole.FromPeers]: RELAYED_WAIT_FRACTION,
+    }[getReadRole()];
+    return Math.min(MAX_CHANGE_WAIT_MS, Math.round(intervalMs * fraction));
+  }
+
+  function chooseIntervalMs({ ageMs }: StoreRows): number {
+    if (ageMs !== undefined) return intervalMs * RELAYED_INTERVAL_FRACTION;
+    return getReadRole() === ReadRole.ForOthers
+      ? intervalMs * READER_INTERVAL_FRACTION
+      : intervalMs;
   }
 
-  function applyRows({ rows, revision: nextRevision }: StoreRows): void {
+  function applyRows(read: StoreRows): void {
+    const { rows, revision: nextRevision } = read;
     const isFullTable = revision === undefined;
+    if (isFullTable) copy.setAll(read);
+    else copy.apply(read);
     revision = Math.max(revision ?? 0, nextRevision);
     if (isFullTable) events.onTable(rows);
     else if (rows.length > 0) events.onChanges(rows);
@@ -147,14 +189,15 @@
     if (!rows) return 0;
     recordAnswer();
     applyRows(rows);
-    recordConfirmation(sentAt);
-    return chooseDelayMs(sentAt);
+    recordConfirmation(sentAt - (rows.ageMs ?? 0));
+    events.onRead?.();
+    return chooseDelayMs(sentAt, chooseIntervalMs(rows));
   }
 
   /** Reads once more at the end of a rewrite, so that the age stays low. */
-  function chooseDelayMs(sentAt: number): number {
+  function chooseDelayMs(sentAt: number, delayMs: number): number {
     const now = getElapsed();
-    const nextReadAt = Math.min(sentAt + intervalMs, rewriteEndsAt ?? Infinity);
+    const nextReadAt = Math.min(sentAt + delayMs, rewriteEndsAt ?? Infinity);
     return Math.max(0, nextReadAt - now);
   }
 
@@ -170,6 +213,8 @@
   }
 
   return {
+    copy,
+    maxRelayedAgeMs: intervalMs * MAX_RELAYED_AGE_FRACTION,
     getAgeMs,
     getRevision: () => revision ?? 0,
     endRewrite() {
--- a/packages/gateway/src/view-service.ts
+++ b/packages/gateway/src/view-service.ts
@@ -84,7 +84,9 @@
     clock: kernel.find('clock'),
     getElapsed,
     log,
+    getReadRole: () => kernel.find('relay').getReadRole(),
     events: {
+      onRead: () => kernel.find('relay').answerWaiting(CONFIGURATION_TABLE),
       onTable: applyRows,
       onChanges: applyRows,
       onRestored() {
@@ -94,6 +96,7 @@
   });
 
   endRewrite = feed.endRewrite;
+  kernel.find('relay').addTable(CONFIGURATION_TABLE, feed);
 
   function getAgeMs(): number {
     return feed.getAgeMs() ?? Infinity;
--- a/packages/gateway/test/sharing.test.ts
+++ b/packages/gateway/test/sharing.test.ts
@@ -50,6 +50,7 @@
         getElapsed: clock.now,
         log,
         drawRandom: () => 0,
+        listLive: () => entry.mesh.listLive(),
         onChange: () => entry.mesh.setMembers(entry.members.listOthers()),
       }),
       mesh: createPeerMesh({
@@ -61,6 +62,7 @@
         onReport(_peer, report: PeerReport) {
           entry.received += report.usage.get('bakery')?.admitted ?? 0;
         },
+        onTableMessage: () => undefined,
         onLost: () => undefined,
         onRound(livePeers) {
           entry.livePeers = livePeers;
--- a/packages/gateway/test/store-era.test.ts
+++ b/packages/gateway/test/store-era.test.ts
@@ -5,7 +5,7 @@
 import { createStore, type ReadResult, type Store } from '@masticbend/platform/store';
 import { startStoreStandIn, type StoreStandIn } from '@masticbend/platform/store-standin';
 import { createEraStore } from '../src/store-era.js';
-import { createTableFeed, type TableFeed } from '../src/table-feed.js';
+import { createTableFeed, ReadRole, type TableFeed } from '../src/table-feed.js';
 import { formatAnswer, type Script } from './backend.js';
 import { startDeployment, waitFor, waitUntil, type Deployment } from './harness.js';
 
@@ -33,6 +33,7 @@
       clock,
       getElapsed: clock.now,
       log: createSilentLogger(),
+      getReadRole: () => ReadRole.Own,
       events: {
         onTable(table) {
           rows.clear();
--- a/packages/kernel/src/log.ts
+++ b/packages/kernel/src/log.ts
@@ -31,6 +31,7 @@
   LimitShareChanged: 'limit-share-changed',
   HistoryLost: 'history-lost',
   StoreRestored: 'store-restored',
+  RelayFailed: 'relay-failed',
   MemberChanged: 'member-changed',
   AgentChanged: 'agent-changed',
   PermitAnswered: 'permit-answered',
--- a/packages/protocol/src/gateway-message.ts
+++ b/packages/protocol/src/gateway-message.ts
@@ -34,6 +34,35 @@
   noticePauseMs: number[];
 }
 
+/**
+ * Entry → entry: reads a table of the store from the rows that the receiver has read. Without newer
+ * rows the receiver answers after `waitMs`.
+ */
+export interface TableReadMessage {
+  kind: 'table-read';
+  id: number;
+  table: string;
+  /** Store era and revision after which changes are requested; -1 requests all rows. */
+  era: number;
+  after: number;
+  waitMs: number;
+}
+
+/** Entry → entry: the answer to `table-read`. The lists are in the order of `keys`. */
+export interface TableRowsMessage {
+  kind: 'table-rows';
+  id: number;
+  result: 'rows' | 'history-lost' | 'unavailable';
+  era: number;
+  revision: number;
+  /** Time since the sender sent the read that last confirmed its rows, in milliseconds. */
+  ageMs: number;
+  keys: string[];
+  values: Uint8Array[];
+  revisions: number[];
+  deleted: boolean[];
+}
+
 /** Entry → agent, first message: the backend server that the entry needs permits for. */
 export interface PermitHelloMessage {
   kind: 'permit-hello';
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -13,6 +13,8 @@
   PermitRefusalMessage,
   PermitReleaseMessage,
   PermitReportMessage,
+  TableReadMessage,
+  TableRowsMessage,
   PermitRequestMessage,
 } from './gateway-message.js';
 
@@ -66,6 +68,8 @@
   Quota: 'quota',
   PeerHello: 'peer-hello',
   PeerReport: 'peer-report',
+  TableRead: 'table-read',
+  TableRows: 'table-rows',
   PermitHello: 'permit-hello',
   PermitRequest: 'permit-request',
   Permit: 'permit',
@@ -421,7 +425,9 @@
   | PermitLeavingMessage
   | PermitRefusalMessage
   | PermitReleaseMessage
-  | PermitReportMessage;
+  | PermitReportMessage
+  | TableReadMessage
+  | TableRowsMessage;
 
 /** The message type of one kind. */
 export type MessageOf<Kind extends MessageKind> = Extract<Message, { kind: Kind }>;
