Permits bounded by the prompts in progress

Cause: an agent counted requests only.

Change: agents sum the prompt tokens of requests without output, learn the time that their engine takes for them, grant no permit while more than 300 ms of them are pending, and report the sum, which entries use for the time to the first event. Entries tell agents of the first output.

--- a/packages/gateway/src/dispatch.ts
+++ b/packages/gateway/src/dispatch.ts
@@ -17,7 +17,7 @@
   clock: Clock;
   client: BackendClient;
   serverPool: ServerPool;
-  permits: Pick<PermitClient, 'release' | 'addRunning'>;
+  permits: Pick<PermitClient, 'findLoad' | 'reportFirstOutput' | 'release' | 'addRunning'>;
   /** Called with what a backend server says about itself in an answer. */
   onNotice: (entry: ServerEntry, notice: ServerNotice) => void;
   /** Called when an attempt at a backend server has ended; its slot is free again. */
@@ -34,7 +34,8 @@
   /** Occupies a slot of the server until `state.releaseSlot` is called. */
   function takeSlot(state: RequestState, entry: ServerEntry) {
     const { id, work } = state;
-    const promptKilotokens = serverPool.addRunning(entry, work);
+    const pendingTokens = permits.findLoad(entry.server.id)?.pendingTokens;
+    const promptKilotokens = serverPool.addRunning(entry, work, pendingTokens);
     permits.addRunning(entry.server.id, id);
     let isPrefilling = true;
     const finishPrefill = () => {
@@ -78,6 +79,7 @@
         onNotice: (notice) => onNotice(entry, notice),
         onFirstOutput(elapsedMs) {
           finishPrefill();
+          permits.reportFirstOutput(entry.server.id, state.id);
           state.firstByteAt ??= clock.now();
           if (route.streamed) serverPool.recordFirstEvent(entry, promptKilotokens, elapsedMs);
         },
--- a/packages/gateway/src/permit-client.ts
+++ b/packages/gateway/src/permit-client.ts
@@ -44,6 +44,8 @@
   release: (server: string, request: string) => void;
   /** Tells the agent of a server that the server is leaving. */
   reportLeaving: (server: string) => void;
+  /** The first output of a request has arrived. */
+  reportFirstOutput: (server: string, request: string) => void;
   /** Registers a request as running at a server, with or without a permit, until `release`. */
   addRunning: (server: string, request: string) => void;
   start: () => void;
@@ -134,9 +136,9 @@
     else events.onRefusal(link.server.id, message.request, message.waitMs);
   }
 
-  function receiveLoad(link: AgentLink, { held, waitsMs }: AgentLoad): void {
+  function receiveLoad(link: AgentLink, { held, pendingTokens, waitsMs }: AgentLoad): void {
     link.lastReportAt = clock.now();
-    link.load = { held, waitsMs };
+    link.load = { held, pendingTokens, waitsMs };
     if (link.usable) return;
     link.usable = true;
     log.info(LogEvent.AgentChanged, { server: link.server.id, usable: true, held });
@@ -214,8 +216,13 @@
       // Counts the request until the agent's next message, so that several simultaneous requests do
       // not assume the same free slot.
       if (link.load.held < link.server.slots) link.load.held += 1;
+      link.load.pendingTokens += permitRequest.promptTokens;
       link.connection?.send({ kind: 'permit-request', ...permitRequest });
     },
+    reportFirstOutput(server, request) {
+      const link = links.get(server);
+      if (link?.running.has(request)) link.connection?.send({ kind: 'permit-started', request });
+    },
     release(server, request) {
       const link = links.get(server);
       if (!link) return;
@@ -248,7 +255,7 @@
     lastReportAt: 0,
     usable: false,
     isLeaving: false,
-    load: { held: 0, waitsMs: [0] },
+    load: { held: 0, pendingTokens: 0, waitsMs: [0] },
     pendingRequests: new Set(),
     running: new Set(),
   };
--- a/packages/gateway/src/permit-server.ts
+++ b/packages/gateway/src/permit-server.ts
@@ -108,6 +108,9 @@
       scheduleExpiry();
       return answers;
     }
+    if (message.kind === 'permit-started') {
+      return queue.recordFirstOutput(now, owner, message.request);
+    }
     if (message.kind === 'permit-release') return queue.release(now, owner, message.request);
     return [];
   }
@@ -132,8 +135,8 @@
   }
 
   function describeLoad(): AgentLoad {
-    const { held, waitsMs } = queue.report();
-    return { held, waitsMs };
+    const { held, pendingTokens, waitsMs } = queue.report();
+    return { held, pendingTokens, waitsMs };
   }
 
   function createReport(): Message {
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -178,6 +178,7 @@
       account,
       rank,
       tokens,
+      promptTokens: state.work.promptTokens,
       holdMs,
       waitMs,
       agents,
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -53,7 +53,10 @@
   requestQueue: RequestQueue;
   limits: SharedLimits;
   repeatBudget: RepeatBudget;
-  permits: Pick<PermitClient, 'findLoad' | 'requestPermit' | 'release' | 'addRunning'>;
+  permits: Pick<
+    PermitClient,
+    'findLoad' | 'requestPermit' | 'reportFirstOutput' | 'release' | 'addRunning'
+  >;
   /** Called with what a backend server says about itself in an answer. */
   onNotice: ServerNotices['handleAnswer'];
   getView: () => ConfigurationView | undefined;
--- a/packages/gateway/test/placement.test.ts
+++ b/packages/gateway/test/placement.test.ts
@@ -59,7 +59,7 @@
     serverPool,
     requestQueue: createRequestQueue(),
     permits: {
-      findLoad: () => ({ held: SLOTS + 1, waitsMs }),
+      findLoad: () => ({ held: SLOTS + 1, pendingTokens: 0, waitsMs }),
       requestPermit: (server, permitRequest) => permitRequests.set(server, permitRequest),
       release: (server) => permitRequests.delete(server),
     },
--- a/packages/protocol/src/gateway-message.ts
+++ b/packages/protocol/src/gateway-message.ts
@@ -86,6 +86,8 @@
   /** Order of service; 0 is served first. */
   rank: number;
   tokens: number;
+  /** Prompt tokens that the backend server reads before the first output. */
+  promptTokens: number;
   /** Time for which the request is expected to hold its permit, in milliseconds. */
   holdMs: number;
   /** Longest wait for the permit, in milliseconds; beyond it the request is refused. */
@@ -100,6 +102,8 @@
   request: string;
   /** Permits in use at the agent, over all entries. */
   held: number;
+  /** Prompt tokens of the permits in use whose requests have no output yet. */
+  pendingTokens: number;
   /** Expected wait by rank, in milliseconds; the last value also applies to later ranks. */
   waitsMs: readonly number[];
 }
@@ -113,6 +117,7 @@
   /** Expected wait at the refusal, in milliseconds. */
   waitMs: number;
   held: number;
+  pendingTokens: number;
   waitsMs: readonly number[];
   /** The backend server is leaving: the agent grants no more permits. */
   leaving: boolean;
@@ -125,6 +130,12 @@
   bornAt: number;
 }
 
+/** Entry → agent: the first output of the request has arrived; its prompt has been read. */
+export interface PermitStartedMessage {
+  kind: 'permit-started';
+  request: string;
+}
+
 /** Entry → agent: the request has ended, or no longer needs a permit from this agent. */
 export interface PermitReleaseMessage {
   kind: 'permit-release';
@@ -135,5 +146,6 @@
 export interface PermitReportMessage {
   kind: 'permit-report';
   held: number;
+  pendingTokens: number;
   waitsMs: readonly number[];
 }
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -13,6 +13,7 @@
   PermitRefusalMessage,
   PermitReleaseMessage,
   PermitReportMessage,
+  PermitStartedMessage,
   TableReadMessage,
   TableRowsMessage,
   PermitRequestMessage,
@@ -75,6 +76,7 @@
   Permit: 'permit',
   PermitRefusal: 'permit-refusal',
   PermitLeaving: 'permit-leaving',
+  PermitStarted: 'permit-started',
   PermitRelease: 'permit-release',
   PermitReport: 'permit-report',
 } as const;
@@ -426,6 +428,7 @@
   | PermitRefusalMessage
   | PermitReleaseMessage
   | PermitReportMessage
+  | PermitStartedMessage
   | TableReadMessage
   | TableRowsMessage;
 
--- a/packages/protocol/src/shape.ts
+++ b/packages/protocol/src/shape.ts
@@ -199,6 +199,7 @@
     account: isText,
     rank: isNonNegativeInteger,
     tokens: isNonNegativeNumber,
+    promptTokens: isNonNegativeNumber,
     holdMs: isNonNegativeNumber,
     waitMs: isNonNegativeNumber,
     agents: isNonNegativeInteger,
@@ -206,18 +207,25 @@
   permit: {
     request: isText,
     held: isNonNegativeInteger,
+    pendingTokens: isNonNegativeNumber,
     waitsMs: createListCheck(isNonNegativeNumber),
   },
   'permit-refusal': {
     request: isText,
     waitMs: isNonNegativeNumber,
     held: isNonNegativeInteger,
+    pendingTokens: isNonNegativeNumber,
     waitsMs: createListCheck(isNonNegativeNumber),
     leaving: isBoolean,
   },
   'permit-leaving': { bornAt: isFiniteNumber },
   'permit-release': { request: isText },
-  'permit-report': { held: isNonNegativeInteger, waitsMs: createListCheck(isNonNegativeNumber) },
+  'permit-started': { request: isText },
+  'permit-report': {
+    held: isNonNegativeInteger,
+    pendingTokens: isNonNegativeNumber,
+    waitsMs: createListCheck(isNonNegativeNumber),
+  },
 };
 
 const KINDS = Object.keys(SHAPES) as MessageKind[];
--- a/packages/scheduling/src/permit-queue.ts
+++ b/packages/scheduling/src/permit-queue.ts
@@ -15,6 +15,16 @@
 /** Smoothing factors of the mean hold times and of the wait scales. */
 const HOLD_SMOOTHING = 0.1;
 const WAIT_SMOOTHING = 0.1;
+/** Smoothing factor of the time in which prompts are read. */
+const PREFILL_SMOOTHING = 0.1;
+/** Estimate for an engine without observations, as in `server-entry.ts`. */
+const INITIAL_PREFILL_MS_PER_THOUSAND = 60;
+/**
+ * Expected time for reading the prompts of granted requests above which no permit is granted. An
+ * engine reads the prompts of all its requests in turns: with more of them, all first events are
+ * late, while those that wait here can still be ordered, placed elsewhere or refused.
+ */
+const MAX_PENDING_PREFILL_MS = 300;
 /** Maximum ratio of an actual wait to the wait that was expected from the work ahead. */
 const MAX_WAIT_SCALE = 20;
 
@@ -37,6 +47,8 @@
   addRunning: (now: number, owner: string, requests: readonly string[]) => void;
   /** Grants a permit, refuses it, or queues the request; a queued request has no answer yet. */
   request: (now: number, owner: string, permitRequest: PermitRequest) => PermitAnswer[];
+  /** The prompt of a request has been read; returns the permits that this frees for others. */
+  recordFirstOutput: (now: number, owner: string, request: string) => PermitAnswer[];
   /** Ends a permit or withdraws its request; returns the permits that this frees for others. */
   release: (now: number, owner: string, request: string) => PermitAnswer[];
   /**
@@ -54,6 +66,10 @@
 interface HeldPermit {
   owner: string;
   grantedAt: number;
+  /** Prompt tokens that are still to be read, 0 after the first output. */
+  promptTokens: number;
+  /** Prompt tokens of all permits at the grant, this one included. */
+  pendingTokensAtGrant: number;
   /** Time for which it was expected to be held, in milliseconds; unknown after `addRunning`. */
   expectedMs?: number;
 }
@@ -62,6 +78,7 @@
 interface QueuedPermitRequest extends QueuedWork {
   /** Time for which it will hold a slot here, in milliseconds. */
   holdMs: number;
+  promptTokens: number;
   /** Wait expected on arrival from the work ahead, in milliseconds. */
   expectedWaitMs: number;
 }
@@ -71,6 +88,8 @@
   const queue = createQueue<QueuedPermitRequest>(RANK_COUNT);
   const held = new Map<string, HeldPermit>();
   let slots = 0;
+  let pendingTokens = 0;
+  let prefillMsPerThousand: number | undefined;
   let meanHoldMs: number | undefined;
   let meanExpectedHoldMs: number | undefined;
   const waitScales = Array.from({ length: RANK_COUNT }, () => 1);
@@ -78,7 +97,15 @@
   let order = 0;
 
   function grant(now: number, work: QueuedPermitRequest): PermitAnswer {
-    held.set(work.request, { owner: work.owner, grantedAt: now, expectedMs: work.holdMs });
+    const { owner, promptTokens, holdMs } = work;
+    pendingTokens += promptTokens;
+    held.set(work.request, {
+      owner,
+      grantedAt: now,
+      promptTokens,
+      pendingTokensAtGrant: pendingTokens,
+      expectedMs: holdMs,
+    });
     return { owner: work.owner, request: getRequestId(work) };
   }
 
@@ -93,7 +120,15 @@
   }
 
   function hasCapacity(): boolean {
-    return slots > 0 && held.size < slots + EXTRA_PERMITS;
+    if (slots === 0 || held.size >= slots + EXTRA_PERMITS) return false;
+    const msPerThousand = prefillMsPerThousand ?? INITIAL_PREFILL_MS_PER_THOUSAND;
+    return (pendingTokens / 1_000) * msPerThousand < MAX_PENDING_PREFILL_MS;
+  }
+
+  /** The prompt of a permit's request needs no more reading. */
+  function finishPrefill(permit: HeldPermit): void {
+    pendingTokens = Math.max(0, pendingTokens - permit.promptTokens);
+    permit.promptTokens = 0;
   }
 
   /** The queued work spread over all slots, and the time until the first slot becomes free. */
@@ -139,6 +174,7 @@
     const permit = held.get(key);
     if (!permit) return;
     held.delete(key);
+    finishPrefill(permit);
     if (permit.expectedMs === undefined) return;
     meanHoldMs = updateMovingAverage(meanHoldMs, now - permit.grantedAt, HOLD_SMOOTHING);
     meanExpectedHoldMs = updateMovingAverage(meanExpectedHoldMs, permit.expectedMs, HOLD_SMOOTHING);
@@ -150,7 +186,12 @@
     },
     addRunning(now, owner, requests) {
       for (const request of requests) {
-        held.set(formatKey(owner, request), { owner, grantedAt: now });
+        held.set(formatKey(owner, request), {
+          owner,
+          grantedAt: now,
+          promptTokens: 0,
+          pendingTokensAtGrant: 0,
+        });
       }
     },
     request(now, owner, permitRequest) {
@@ -169,13 +210,29 @@
       queue.add(work);
       return [];
     },
+    recordFirstOutput(now, owner, request) {
+      const permit = held.get(formatKey(owner, request));
+      if (!permit || permit.promptTokens === 0) return [];
+      prefillMsPerThousand = updateMovingAverage(
+        prefillMsPerThousand,
+        (now - permit.grantedAt) / (permit.pendingTokensAtGrant / 1_000 + 1),
+        PREFILL_SMOOTHING,
+      );
+      finishPrefill(permit);
+      return grantNext(now);
+    },
     release(now, owner, request) {
       release(now, owner, request);
       return grantNext(now);
     },
     dropOwner(now, owner) {
       queue.removeOwner(owner);
-      for (const [key, permit] of held) if (permit.owner === owner) held.delete(key);
+      for (const [key, permit] of held) {
+        if (permit.owner === owner) {
+          finishPrefill(permit);
+          held.delete(key);
+        }
+      }
       return grantNext(now);
     },
     expire(now) {
@@ -198,7 +255,7 @@
     report() {
       const isFree = held.size < slots && queue.size() === 0;
       const waitsMs = isFree ? [0] : listWaitsMs();
-      return { held: held.size, waiting: queue.size(), waitsMs };
+      return { held: held.size, pendingTokens, waiting: queue.size(), waitsMs };
     },
     countWaiting: queue.size,
   };
@@ -211,7 +268,7 @@
   order: number,
   expectedWaitMs: number,
 ): QueuedPermitRequest {
-  const { request, account, rank, tokens, holdMs, waitMs, agents } = permitRequest;
+  const { request, account, rank, tokens, promptTokens, holdMs, waitMs, agents } = permitRequest;
   const waiting = {
     id: formatKey(owner, request),
     service: '',
@@ -222,7 +279,7 @@
     costMs: holdMs / agents,
     tokens,
   };
-  return { ...createQueuedWork(waiting, order), owner, holdMs, expectedWaitMs };
+  return { ...createQueuedWork(waiting, order), owner, holdMs, promptTokens, expectedWaitMs };
 }
 
 /** Makes a request id unique, since two entries may use the same one. */
--- a/packages/scheduling/src/server-entry.ts
+++ b/packages/scheduling/src/server-entry.ts
@@ -88,8 +88,16 @@
   };
 }
 
-/** Estimates the time to the end of the answer beside `held` other requests, in milliseconds. */
-export function estimateFinishMs(entry: ServerEntry, work: PlacedWork, held: number): number {
+/**
+ * Estimates the time to the end of the answer beside `held` other requests, in milliseconds.
+ * `pendingTokens` are the prompt tokens ahead where more than this instance's own are known.
+ */
+export function estimateFinishMs(
+  entry: ServerEntry,
+  work: PlacedWork,
+  held: number,
+  pendingTokens = entry.pendingPromptTokens,
+): number {
   const { slots } = entry.server;
   if (work.events === 0) {
     const answerMs = entry.answerMs ?? INITIAL_ANSWER_MS;
@@ -99,15 +107,19 @@
   const eventIntervalMs =
     (entry.eventIntervalMs ?? INITIAL_EVENT_INTERVAL_MS) *
     (1 + Math.min(held, slots) * SLOWDOWN_PER_REQUEST);
-  return estimateFirstMs(entry, work) + eventIntervalMs * work.events;
+  return estimateFirstMs(entry, work, pendingTokens) + eventIntervalMs * work.events;
 }
 
 /**
  * Estimates the time to the first event, or to a plain service's complete answer, in milliseconds.
  */
-export function estimateFirstMs(entry: ServerEntry, work: PlacedWork): number {
+export function estimateFirstMs(
+  entry: ServerEntry,
+  work: PlacedWork,
+  pendingTokens = entry.pendingPromptTokens,
+): number {
   if (work.events === 0) return entry.answerMs ?? INITIAL_ANSWER_MS;
-  return estimatePrefillMs(entry, entry.pendingPromptTokens + work.promptTokens);
+  return estimatePrefillMs(entry, pendingTokens + work.promptTokens);
 }
 
 /**
--- a/packages/scheduling/src/server-pool.ts
+++ b/packages/scheduling/src/server-pool.ts
@@ -44,6 +44,8 @@
 export interface AgentLoad {
   /** Permits in use. */
   held: number;
+  /** Prompt tokens of all instances' requests there that have no output yet. */
+  pendingTokens: number;
   /**
    * Expected wait of a request by rank, in milliseconds; ranks beyond the list wait like the last.
    */
@@ -113,9 +115,10 @@
   choose: (now: number, query: PlacementQuery) => Choice;
   /**
    * Counts a request as running. Returns the prompt tokens that the server processes until its
-   * first event, in thousands, plus 1 for the fixed time; pass them to `recordFirstEvent`.
+   * first event, in thousands, plus 1 for the fixed time; pass them to `recordFirstEvent`. Where an
+   * agent granted the permit, `pendingTokens` is what it reported, this request included.
    */
-  addRunning: (entry: ServerEntry, work: PlacedWork) => number;
+  addRunning: (entry: ServerEntry, work: PlacedWork, pendingTokens?: number) => number;
   removeRunning: (entry: ServerEntry) => void;
   /** Records the time to a first event; `promptKilotokens` is what `addRunning` returned. */
   recordFirstEvent: (entry: ServerEntry, promptKilotokens: number, elapsedMs: number) => void;
@@ -217,10 +220,10 @@
       if (!best) return { kind: 'full', waitMs: minWaitMs };
       return { kind: 'server', ...best };
     },
-    addRunning(entry, work) {
+    addRunning(entry, work, pendingTokens) {
       entry.running += 1;
       entry.pendingPromptTokens += work.promptTokens;
-      return entry.pendingPromptTokens / 1_000 + 1;
+      return (pendingTokens ?? entry.pendingPromptTokens) / 1_000 + 1;
     },
     removeRunning(entry) {
       entry.running -= 1;
@@ -304,12 +307,12 @@
   const { slots } = entry.server;
   const held = load?.held ?? countHeld(entry);
   if (!load && held >= slots + EXTRA_PERMITS) return undefined;
-  const firstMs = estimateFirstMs(entry, work);
+  const firstMs = estimateFirstMs(entry, work, load?.pendingTokens);
   const onTime = getExpectedWaitMs(load, query.rank) + firstMs <= onTimeMs;
   const rank = onTime || isLateBySize(entry, query) ? query.rank : query.lateRank;
   const expectedWaitMs = getExpectedWaitMs(load, rank);
   if (!onTime && expectedWaitMs > lateWaitMs) return undefined;
-  const finishMs = estimateFinishMs(entry, work, held) + expectedWaitMs;
+  const finishMs = estimateFinishMs(entry, work, held, load?.pendingTokens) + expectedWaitMs;
   const hasFreeSlot = expectedWaitMs === 0;
   const distance = entry.server.dataCentre === dataCentre ? 0 : REMOTE_PENALTY_FRACTION;
   const pausePenaltyMs = entry.peerPausedUntil > now ? PEER_PAUSE_PENALTY_MS : 0;
--- a/packages/scheduling/test/permit-queue.test.ts
+++ b/packages/scheduling/test/permit-queue.test.ts
@@ -19,7 +19,16 @@
 }
 
 function buildInput(request: string, rank = 0, waitMs = WAIT_MS, account = 'a') {
-  return { request, account, rank, tokens: 100, holdMs: HOLD_MS, waitMs, agents: 1 };
+  return {
+    request,
+    account,
+    rank,
+    tokens: 100,
+    promptTokens: 0,
+    holdMs: HOLD_MS,
+    waitMs,
+    agents: 1,
+  };
 }
 
 function listGranted(answers: readonly PermitAnswer[]): string[] {
@@ -44,6 +53,37 @@
     expect(listGranted(queue.release(10, 'e0', 'held-0'))).to.deep.equal(['e1/next']);
   });
 
+  it('grants no more while the prompts of a burst are read, and then the most urgent', () => {
+    const queue = createReadyQueue();
+    const long = { promptTokens: 4_000 };
+    // Initially 60 ms for a thousand tokens: two prompts exceed the 300 ms of pending reading.
+    const granted = ['a', 'b', 'c'].flatMap((request) =>
+      listGranted(queue.request(0, 'e0', { ...buildInput(request, 1), ...long })),
+    );
+    expect(granted).to.deep.equal(['e0/a', 'e0/b']);
+    expect(queue.report()).to.include({ held: 2, pendingTokens: 8_000, waiting: 1 });
+    expect(queue.request(10, 'e1', { ...buildInput('urgent', 0), ...long })).to.deep.equal([]);
+    expect(listGranted(queue.recordFirstOutput(250, 'e0', 'a'))).to.deep.equal(['e1/urgent']);
+    expect(listGranted(queue.release(300, 'e0', 'b'))).to.deep.equal(['e0/c']);
+    queue.dropOwner(400, 'e0');
+    queue.release(400, 'e1', 'urgent');
+    expect(queue.report()).to.include({ held: 0, pendingTokens: 0 });
+  });
+
+  it('learns how fast the engine reads prompts', () => {
+    const queue = createReadyQueue();
+    for (let count = 0; count < 30; count += 1) {
+      const request = `r${count}`;
+      queue.request(count * 1_000, 'e0', { ...buildInput(request), promptTokens: 4_000 });
+      queue.recordFirstOutput(count * 1_000 + 50, 'e0', request);
+      queue.release(count * 1_000 + 60, 'e0', request);
+    }
+    const fast = ['a', 'b', 'c', 'd'].map((request) =>
+      queue.request(40_000, 'e0', { ...buildInput(request), promptTokens: 4_000 }),
+    );
+    expect(fast.flatMap(listGranted)).to.have.length(4);
+  });
+
   it('gives the next slot to the highest tier across all entries', () => {
     const queue = createReadyQueue();
     reserveAll(queue);
--- a/packages/scheduling/test/server-pool.test.ts
+++ b/packages/scheduling/test/server-pool.test.ts
@@ -58,7 +58,7 @@
 
 function createLoads(loads: Record<string, Partial<AgentLoad>>) {
   return (id: string): AgentLoad | undefined =>
-    loads[id] && { held: 0, waitsMs: [0], ...loads[id] };
+    loads[id] && { held: 0, pendingTokens: 0, waitsMs: [0], ...loads[id] };
 }
 
 const FULL = { held: SLOTS + 1, waitsMs: [100, 900] };
@@ -104,6 +104,13 @@
     expect(chooseId(pool, late)).to.equal('slow');
   });
 
+  it('counts the prompts of other instances where an agent reports them', () => {
+    const findLoad = createLoads({ fast: { pendingTokens: 8_000 }, slow: {} });
+    expect(chooseId(createPool(), createQuery({ findLoad }))).to.equal('slow');
+    const spread = createLoads({ fast: { pendingTokens: 100 }, slow: {} });
+    expect(chooseId(createPool(), createQuery({ findLoad: spread }))).to.equal('fast');
+  });
+
   it('keeps the rank of a request that is late only because of its size', () => {
     const findLoad = createLoads({ fast: FULL, slow: FULL });
     const large = { promptTokens: 20_000, events: 5 };
