--- a/packages/gateway/src/permit-client.ts
+++ b/packages/gateway/src/permit-client.ts
@@ -12,7 +12,7 @@
   PermitRequestMessage,
 } from '@masticbend/protocol/gateway-message';
 import type { Message } from '@masticbend/protocol/message';
-import type { AgentLoad } from '@masticbend/scheduling/server-pool';
+import type { AgentLoad } from '@masticbend/scheduling/server-candidate';
 import { parseAddress } from '@masticbend/settings/address';
 import type { BackendServer } from '@masticbend/settings/routing';
 import { dialSocket } from './network.js';
--- a/packages/gateway/src/permit-server.ts
+++ b/packages/gateway/src/permit-server.ts
@@ -11,7 +11,7 @@
 import type { PermitHelloMessage } from '@masticbend/protocol/gateway-message';
 import type { Message } from '@masticbend/protocol/message';
 import { createPermitQueue, type PermitAnswer } from '@masticbend/scheduling/permit-queue';
-import type { AgentLoad } from '@masticbend/scheduling/server-pool';
+import type { AgentLoad } from '@masticbend/scheduling/server-candidate';
 import { startServer } from './network.js';
 
 /** Interval at which permit requests that have waited too long are refused. */
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -5,13 +5,9 @@
  */
 import type { Clock } from '@masticbend/kernel/clock';
 import { ErrorKind, type Failure } from '@masticbend/protocol/error';
-import type {
-  AgentLoad,
-  Choice,
-  ServerPool,
-  ServerChoice,
-} from '@masticbend/scheduling/server-pool';
+import type { AgentLoad } from '@masticbend/scheduling/server-candidate';
 import { isUsable, type ServerEntry } from '@masticbend/scheduling/server-entry';
+import type { Choice, ServerChoice, ServerPool } from '@masticbend/scheduling/server-pool';
 import type { RequestQueue } from '@masticbend/scheduling/request-queue';
 import { OUTAGE_RETRY_AFTER_MS } from './access.js';
 import type { PermitClient, PermitEvents } from './permit-client.js';
--- a/packages/scheduling/src/permit-queue.ts
+++ b/packages/scheduling/src/permit-queue.ts
@@ -9,7 +9,7 @@
 import { createQueue } from './queue.js';
 import type { QueuedWork } from './queued-work.js';
 import { RANK_COUNT } from './rank.js';
-import { EXTRA_PERMITS, type AgentLoad } from './server-pool.js';
+import { EXTRA_PERMITS, type AgentLoad } from './server-candidate.js';
 import { createQueuedWork } from './request-queue.js';
 
 /** Smoothing factors of the mean hold times and of the wait scales. */
--- a/packages/scheduling/src/server-pool.ts
+++ b/packages/scheduling/src/server-pool.ts
@@ -5,12 +5,19 @@
  */
 import type { BackendServer } from '@masticbend/settings/routing';
 import { updateMovingAverage } from './moving-average.js';
+import {
+  createCandidate,
+  getExpectedWaitMs,
+  isPreferred,
+  type Candidate,
+  type FindLoad,
+  type PlacementQuery,
+} from './server-candidate.js';
 import {
   countHeld,
   createServerEntry,
   estimateFinishMs,
   estimateFirstMs,
-  estimatePrefillMs,
   findPauseEnd,
   isUsable,
   type PlacedWork,
@@ -26,74 +33,6 @@
 /** First ejection time; it doubles with each further failure, up to the maximum. */
 const EJECTION_MS = 1_000;
 const MAX_EJECTION_MS = 8_000;
-/** Expected cost of repeating a failed request; it is weighted by the server's failure rate. */
-const FAILURE_PENALTY_MS = 400;
-/** Penalty for a server that asked a peer to pause: it is short of capacity. */
-const PEER_PAUSE_PENALTY_MS = 400;
-/**
- * Penalty for a server in another data centre, as a fraction of the finish time: traffic costs
- * money.
- */
-const REMOTE_PENALTY_FRACTION = 0.25;
-/** Fraction of the remaining time within which the complete answer must be expected. */
-const DEADLINE_FRACTION = 0.9;
-/** Requests sent beyond the slots of a server, so that an engine does not idle for a round trip. */
-export const EXTRA_PERMITS = 1;
-
-/** Load of a backend server as its agent reports it. */
-export interface AgentLoad {
-  /** Permits in use. */
-  held: number;
-  /** Prompt tokens of all instances' requests there that have no output yet. */
-  pendingTokens: number;
-  /**
-   * Expected wait of a request by rank, in milliseconds; ranks beyond the list wait like the last.
-   */
-  waitsMs: readonly number[];
-}
-
-/** Returns the load of a server whose agent grants permits; undefined if it has no such agent. */
-export type FindLoad = (server: string) => AgentLoad | undefined;
-
-/** A request to be placed on a server. */
-export interface PlacementQuery {
-  service: string;
-  work: PlacedWork;
-  /** Order of service on servers where the first event can be on time, and where it cannot. */
-  rank: number;
-  lateRank: number;
-  /** Ids of servers that must not be chosen. */
-  excluded: ReadonlySet<string>;
-  /** Time from arrival within which a first event is on time; Infinity for retrying callers. */
-  objectiveMs: number;
-  /** Remaining part of that time; negative when no first event can be on time. */
-  onTimeMs: number;
-  /** Remaining time until the deadline of the complete answer. */
-  leftMs: number;
-  /** Longest wait for a slot on a server where the first event will be late. */
-  lateWaitMs: number;
-  findLoad?: FindLoad;
-}
-
-/** A server that may take a request. */
-interface Candidate {
-  entry: ServerEntry;
-  load?: AgentLoad;
-  /** The first event is expected on time. */
-  onTime: boolean;
-  /** Order of service on this server. */
-  rank: number;
-  /** The complete answer is expected within the remaining time. */
-  meetsDeadline: boolean;
-  /** The request is expected to start without waiting. */
-  hasFreeSlot: boolean;
-  /** Expected time to the first event, without the wait for a slot. */
-  firstMs: number;
-  /** Expected time to the end of the answer, with the wait. */
-  finishMs: number;
-  /** Finish time with the penalties for distance and failures. */
-  cost: number;
-}
 
 /** The chosen server; where `load` is present, its agent must grant a permit first. */
 export type ServerChoice = { kind: 'server' } & Candidate;
@@ -295,49 +234,3 @@
 function findNoLoad(): undefined {
   return undefined;
 }
-
-function createCandidate(
-  now: number,
-  entry: ServerEntry,
-  query: PlacementQuery,
-  load: AgentLoad | undefined,
-  dataCentre: string,
-): Candidate | undefined {
-  const { work, onTimeMs, lateWaitMs, leftMs } = query;
-  const { slots } = entry.server;
-  const held = load?.held ?? countHeld(entry);
-  if (!load && held >= slots + EXTRA_PERMITS) return undefined;
-  const firstMs = estimateFirstMs(entry, work, load?.pendingTokens);
-  const onTime = getExpectedWaitMs(load, query.rank) + firstMs <= onTimeMs;
-  const rank = onTime || isLateBySize(entry, query) ? query.rank : query.lateRank;
-  const expectedWaitMs = getExpectedWaitMs(load, rank);
-  if (!onTime && expectedWaitMs > lateWaitMs) return undefined;
-  const finishMs = estimateFinishMs(entry, work, held, load?.pendingTokens) + expectedWaitMs;
-  const hasFreeSlot = expectedWaitMs === 0;
-  const distance = entry.server.dataCentre === dataCentre ? 0 : REMOTE_PENALTY_FRACTION;
-  const pausePenaltyMs = entry.peerPausedUntil > now ? PEER_PAUSE_PENALTY_MS : 0;
-  const failurePenaltyMs = entry.failureRate * FAILURE_PENALTY_MS;
-  const cost = finishMs * (1 + distance) + failurePenaltyMs + pausePenaltyMs;
-  const meetsDeadline = finishMs <= leftMs * DEADLINE_FRACTION;
-  return { entry, load, onTime, rank, meetsDeadline, hasFreeSlot, firstMs, finishMs, cost };
-}
-
-/** A request that is late only because of its size keeps the rank of those on time. */
-function isLateBySize(entry: ServerEntry, { work, objectiveMs }: PlacementQuery): boolean {
-  return work.events > 0 && estimatePrefillMs(entry, work.promptTokens) > objectiveMs;
-}
-
-/**
- * Prefers servers that meet the deadline, then a first event on time, then no wait, then low cost.
- */
-function isPreferred(candidate: Candidate, best: Candidate): boolean {
-  if (candidate.meetsDeadline !== best.meetsDeadline) return candidate.meetsDeadline;
-  if (candidate.onTime !== best.onTime) return candidate.onTime;
-  if (candidate.hasFreeSlot !== best.hasFreeSlot) return candidate.hasFreeSlot;
-  return candidate.cost < best.cost;
-}
-
-/** Returns 0 without an agent: such a server is only a candidate while it has capacity. */
-function getExpectedWaitMs(load: AgentLoad | undefined, rank: number): number {
-  return load?.waitsMs[Math.min(rank, load.waitsMs.length - 1)] ?? 0;
-}
--- a/packages/scheduling/test/server-pool.test.ts
+++ b/packages/scheduling/test/server-pool.test.ts
@@ -1,12 +1,8 @@
 /** Load patterns of placement: different engines, some full, slow, remote or failing. */
 import { expect } from 'chai';
 import { ServerState, type BackendServer } from '@masticbend/settings/routing';
-import {
-  createServerPool,
-  type AgentLoad,
-  type PlacementQuery,
-  type ServerPool,
-} from '../src/server-pool.js';
+import type { AgentLoad, PlacementQuery } from '../src/server-candidate.js';
+import { createServerPool, type ServerPool } from '../src/server-pool.js';
 
 const SLOTS = 4;
 const FAST_MS = 10;
