--- a/packages/gateway/src/peer-mesh.ts
+++ b/packages/gateway/src/peer-mesh.ts
@@ -7,6 +7,7 @@
 import type { Clock } from '@masticbend/kernel/clock';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import { createConnection, type Connection } from '@masticbend/protocol/connection';
+import { encodeFrame } from '@masticbend/protocol/frame';
 import type {
   PeerReportMessage,
   TableReadMessage,
@@ -218,7 +219,8 @@
     reportedUsage = new Map(state.usage);
     reportedState = stateText;
     lastSentAt = now;
-    for (const { connection } of peers.values()) connection.send(report);
+    const frame = encodeFrame(report);
+    for (const { connection } of peers.values()) connection.sendFrame(frame);
   }
 
   function listLive(): string[] {
--- a/packages/protocol/src/connection.ts
+++ b/packages/protocol/src/connection.ts
@@ -25,6 +25,8 @@
 export interface Connection {
   /** Queues a message; returns false when the connection is closed or finishing. */
   send: (message: Message) => boolean;
+  /** Queues an encoded message, for those that go to many peers. */
+  sendFrame: (frame: Buffer) => boolean;
   close: (reason: string) => void;
   /** Sends the queued messages, then closes; resolves when the peer has closed or timed out. */
   finish: () => Promise<void>;
@@ -67,8 +69,12 @@
   }
 
   function send(message: Message): boolean {
+    return sendFrame(encodeFrame(message));
+  }
+
+  function sendFrame(frame: Buffer): boolean {
     if (!open || socket.writableEnded) return false;
-    socket.write(encodeFrame(message));
+    socket.write(frame);
     sentSinceCheck = true;
     if (socket.writableLength > MAX_SEND_BUFFER_BYTES) close('send buffer is full');
     return open;
@@ -116,6 +122,7 @@
   const peer = `${socket.remoteAddress ?? 'unknown'}:${socket.remotePort ?? 0}`;
   return {
     send,
+    sendFrame,
     close,
     finish,
     isOpen: () => open,
