A new entry connects to all others before they read of it

Cause: since connected members are no longer read at each renewal, entries that should dial a new one learned of it after up to 7.5 s (2.5 s before); it counted them as unheard meanwhile, and they did not hear what it admitted. Change: the entry whose name sorts last dials as well after 1 s.

--- a/packages/gateway/src/peer-mesh.ts
+++ b/packages/gateway/src/peer-mesh.ts
@@ -1,7 +1,9 @@
 /**
  * Connections between the entries of a deployment. Of two entries, the one whose name sorts first
- * dials. Each entry reports its running requests and its admitted units to the others; a peer is
- * live while its reports keep arriving.
+ * dials, and after a delay the other one as well, since the first may not know of it yet. Each
+ * entry reports its running requests, its usage of the accounts' limits, the version of its
+ * configuration and the notices of backend servers to the others; a peer is live while its reports
+ * keep arriving.
  */
 import { createServer, type Server, type Socket } from 'node:net';
 import type { Clock } from '@masticbend/kernel/clock';
@@ -39,6 +41,8 @@
 /** Interval at which an unconnected peer is dialled, and the timeout of one attempt. */
 const DIAL_INTERVAL_MS = 300;
 const DIAL_TIMEOUT_MS = 500;
+/** Time without a connection after which the entry whose name sorts last dials as well. */
+const LAST_DIAL_DELAY_MS = 1_000;
 
 const NO_USAGE: AccountUsage = { admitted: 0, asked: 0 };
 
@@ -105,6 +109,8 @@
   const { self, incarnation, clock, log, describeState, onReport, onLost, onRound } = options;
   const peers = new Map<string, Peer>();
   const lastDialAt = new Map<string, number>();
+  /** Times since which members are not connected. */
+  const missingSince = new Map<string, number>();
   /** Usage of each instance's last incarnation, kept while it is not connected. */
   const lastUsage = new Map<string, { incarnation: string; usage: Map<string, AccountUsage> }>();
   let members: readonly Member[] = [];
@@ -190,8 +196,14 @@
 
   function dialMissingPeers(now: number): void {
     for (const { instance, address } of members) {
-      const isDue = (lastDialAt.get(instance) ?? -Infinity) + DIAL_INTERVAL_MS <= now;
-      if (self.instance < instance && !peers.has(instance) && isDue) {
+      if (peers.has(instance)) missingSince.delete(instance);
+      else if (!missingSince.has(instance)) missingSince.set(instance, now);
+      const delayMs = self.instance < instance ? 0 : LAST_DIAL_DELAY_MS;
+      const dialAt = Math.max(
+        (missingSince.get(instance) ?? Infinity) + delayMs,
+        (lastDialAt.get(instance) ?? -Infinity) + DIAL_INTERVAL_MS,
+      );
+      if (dialAt <= now) {
         lastDialAt.set(instance, now);
         dialSocket(clock, { ...parseAddress(address), timeoutMs: DIAL_TIMEOUT_MS }, openConnection);
       }
--- a/packages/gateway/test/sharing.test.ts
+++ b/packages/gateway/test/sharing.test.ts
@@ -14,6 +14,8 @@
 const PORT = 16_000 + (process.pid % 1_000);
 /** Time within which a stopped peer must no longer be live. */
 const PEER_LOSS_TIMEOUT_MS = 1_000;
+/** Time within which a new entry is connected to all others. */
+const NEW_ENTRY_TIMEOUT_MS = 2_000;
 /** Interval of the renewals and the spread of the rewrite, with a margin. */
 const RENEWAL_TIMEOUT_MS = 3_500;
 
@@ -116,6 +118,15 @@
     expect(first.members.listOthers()).to.have.length(2);
   });
 
+  it('connect to a new entry before they read of it, whichever of them should dial', async () => {
+    // Its name sorts last, so that the others should dial, which do not know it yet.
+    const added = await startEntry(9);
+    entries.push(added);
+    const startedAt = performance.now();
+    await waitUntil(() => entries.every(({ livePeers }) => livePeers === 3));
+    expect(performance.now() - startedAt).to.be.below(NEW_ENTRY_TIMEOUT_MS);
+  });
+
   it('do not count units that a restarted peer admitted before its first report', async () => {
     const [first, , third] = entries as [Entry, Entry, Entry];
     recordAdmitted(third, 100);
