Log how each stream was framed and where it ended

The logs could not tell whether a stream that ended early was ended by its length, by its last chunk or by the end of its connection, nor whether it ended within an event. request-finished and attempt-failed now say so for streams: framing, events, lastEvent, tailBytes. No behaviour changes.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -15,6 +15,7 @@
   type HeaderMap,
 } from '@masticbend/platform/ingress';
 import type { BackendServer, ServerNotice } from '@masticbend/settings/routing';
+import { readFraming, type Framing } from './answer-framing.js';
 import type { BackendClient, Exchange, ExchangeRequest } from './backend-client.js';
 import type { Delivery } from './delivery.js';
 import { createEventSplitter } from './event-splitter.js';
@@ -22,10 +23,20 @@
 /** Answers up to this size are buffered until they are complete; longer ones are relayed. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
 
+/** How an event stream was framed, and how far it was relayed. */
+export interface StreamTrace {
+  framing: Framing;
+  /** Complete events. */
+  events: number;
+  lastEventId?: string;
+  /** Bytes received after the last complete event. */
+  tailBytes: number;
+}
+
 /** Result of an attempt. */
 export type AttemptResult =
   /** The complete answer was delivered. */
-  | { kind: 'delivered'; status: number }
+  | { kind: 'delivered'; status: number; stream?: StreamTrace }
   /** A complete answer, not delivered yet; where it is a failure, the request may be repeated. */
   | { kind: 'answer'; status: number; headers: HeaderMap; body: Buffer }
   /** The request was not written to any connection. */
@@ -33,7 +44,7 @@
   /** The server reports that it did not run the request. */
   | { kind: 'not-run'; status: number }
   /** The request may have run; `lastEventId` is the last event that was delivered. */
-  | { kind: 'broken'; reason: string; lastEventId?: string };
+  | { kind: 'broken'; reason: string; lastEventId?: string; stream?: StreamTrace };
 
 /** The request as one attempt needs it. */
 export interface AttemptRequest {
@@ -88,6 +99,7 @@
   let isRelaying = false;
   let sentAt: number | undefined;
   let lastOutputAt: number | undefined;
+  let eventCount = 0;
   let { lastEventId } = request;
   let hasEnded = false;
   let stopInactivityTimer = () => {};
@@ -103,7 +115,13 @@
   }
 
   function failAttempt(reason: string): void {
-    finish({ kind: 'broken', reason, lastEventId });
+    finish({ kind: 'broken', reason, lastEventId, stream: describeStream() });
+  }
+
+  function describeStream(): StreamTrace | undefined {
+    if (!head || !isEventStream()) return undefined;
+    const tailBytes = splitter.countPendingBytes();
+    return { framing: readFraming(head.headers), events: eventCount, lastEventId, tailBytes };
   }
 
   function startInactivityTimer(): void {
@@ -141,6 +159,7 @@
     recordFirstOutput();
     if (lastOutputAt !== undefined) events.onEventInterval((now - lastOutputAt) / batch.count);
     lastOutputAt = now;
+    eventCount += batch.count;
     lastEventId = batch.lastId ?? lastEventId;
     if (!delivery.hasBegun()) delivery.begin(head!.status, head!.headers);
     relay(batch.bytes);
@@ -184,14 +203,15 @@
       failAttempt('answer ended before its headers');
       return;
     }
-    if (isEventStream()) {
+    const stream = describeStream();
+    if (stream) {
       const remainder = splitter.takeRemainder();
       if (!delivery.hasBegun()) delivery.begin(head.status, head.headers);
       if (remainder.length > 0) delivery.write(remainder);
     }
-    if (isEventStream() || isRelaying) {
+    if (stream || isRelaying) {
       delivery.end();
-      finish({ kind: 'delivered', status: head.status });
+      finish({ kind: 'delivered', status: head.status, stream });
     } else {
       finish({ kind: 'answer', ...head, body: Buffer.concat(bufferedChunks) });
     }
--- a/packages/gateway/src/backend-client.ts
+++ b/packages/gateway/src/backend-client.ts
@@ -6,6 +6,7 @@
 import { buildConnector, Client, Pool, type Dispatcher } from 'undici';
 import type { HeaderMap } from '@masticbend/platform/ingress';
 import type { BackendServer } from '@masticbend/settings/routing';
+import { Framing, readFraming } from './answer-framing.js';
 
 /** Timeout of a connection attempt: many round trips between data centres. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -167,7 +168,9 @@
     onResponseStart(started, status, headers) {
       controller = started;
       if (ended || status < 200) return;
-      if (options.connectionState) options.connectionState.endsWithConnection = !isFramed(headers);
+      if (options.connectionState) {
+        options.connectionState.endsWithConnection = readFraming(headers) === Framing.Connection;
+      }
       events.onHead(status, headers);
       if (paused) started.pause();
     },
@@ -203,11 +206,6 @@
   };
 }
 
-/** Returns whether the headers of an answer determine where it ends. */
-function isFramed(headers: HeaderMap): boolean {
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-}
-
 /** Includes the start time: a restarted server may keep its id and address, not its connections. */
 function formatKey(server: BackendServer): string {
   return `${server.id} ${server.address} ${server.bornAt}`;
--- a/packages/gateway/src/event-splitter.ts
+++ b/packages/gateway/src/event-splitter.ts
@@ -15,6 +15,8 @@
 export interface EventSplitter {
   /** Takes the next chunk; returns undefined when it completes no event. */
   push: (chunk: Buffer) => CompleteEvents | undefined;
+  /** Returns the number of bytes after the last complete event. */
+  countPendingBytes: () => number;
   /** Removes and returns the bytes after the last complete event. */
   takeRemainder: () => Buffer;
 }
@@ -41,6 +43,7 @@
       const complete = bytes.subarray(0, end);
       return { bytes: complete, count, lastId: findLastId(complete) };
     },
+    countPendingBytes: () => pending.length,
     takeRemainder() {
       const remainder = pending;
       pending = NO_BYTES;
--- a/packages/gateway/src/request-log.ts
+++ b/packages/gateway/src/request-log.ts
@@ -3,6 +3,7 @@
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import type { Failure } from '@masticbend/protocol/error';
 import { countHeld, estimateFirstMs, type ServerEntry } from '@masticbend/scheduling/server-entry';
+import type { AttemptResult, StreamTrace } from './attempt.js';
 import type { IncomingRequest, RequestState } from './request-state.js';
 
 /** Writer of log lines about requests. */
@@ -10,12 +11,12 @@
   /** The request was refused before it was admitted. */
   writeDenied: (incoming: IncomingRequest, failure: Failure) => void;
   writePlaced: (state: RequestState, entry: ServerEntry, finishMs: number) => void;
-  writeAttemptFailed: (state: RequestState, entry: ServerEntry, result: string) => void;
+  writeAttemptFailed: (state: RequestState, entry: ServerEntry, result: AttemptResult) => void;
   writeEjected: (entry: ServerEntry, reason: string, now: number) => void;
   writeRepeated: (state: RequestState, from: ServerEntry) => void;
   writeRefused: (state: RequestState, failure: Failure, waiting: number) => void;
   writeFailed: (state: RequestState, failure: Failure) => void;
-  writeFinished: (state: RequestState, status: string) => void;
+  writeFinished: (state: RequestState, status: string, stream?: StreamTrace) => void;
   writeAbandoned: (state: RequestState) => void;
 }
 
@@ -56,9 +57,10 @@
       log.info(LogEvent.AttemptFailed, {
         request: state.incoming.metadata.requestId,
         server: server.id,
-        result,
+        result: result.kind,
         reason: state.lastFailureReason,
         begun: state.delivery.hasBegun(),
+        ...('stream' in result && describeStream(result.stream)),
       });
     },
     writeEjected({ server, consecutiveFailures, ejectedUntil }, reason, now) {
@@ -103,12 +105,19 @@
         totalMs: getTotalMs(state),
       });
     },
-    writeFinished(state, status) {
+    writeFinished(state, status, stream) {
       const request = state.incoming.metadata.requestId;
       const { sentCount: sent, firstByteAt, incoming } = state;
       const firstMs = firstByteAt && Math.round(firstByteAt - incoming.arrivedAt);
       const totalMs = getTotalMs(state);
-      log.info(LogEvent.RequestFinished, { request, status, sent, firstMs, totalMs });
+      log.info(LogEvent.RequestFinished, {
+        request,
+        status,
+        sent,
+        firstMs,
+        totalMs,
+        ...describeStream(stream),
+      });
     },
     writeAbandoned(state) {
       const request = state.incoming.metadata.requestId;
@@ -121,6 +130,12 @@
   };
 }
 
+function describeStream(stream: StreamTrace | undefined) {
+  if (!stream) return undefined;
+  const { framing, events, lastEventId, tailBytes } = stream;
+  return { framing, events, lastEvent: lastEventId, tailBytes };
+}
+
 function describeFailure({ kind, retryAfterMs }: Failure) {
   return { error: kind, retryAfterMs: retryAfterMs && Math.round(retryAfterMs) };
 }
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -175,7 +175,8 @@
   function handleResult(state: RequestState, entry: ServerEntry, result: AttemptResult): void {
     if (result.kind === 'delivered') {
       serverPool.recordSuccess(entry);
-      finish(state, String(result.status));
+      requestLog.writeFinished(state, String(result.status), result.stream);
+      finish(state, String(result.status), false);
       return;
     }
     if (result.kind === 'answer' && isFinalAnswer(state, result.status)) {
@@ -224,7 +225,7 @@
         requestLog.writeEjected(entry, result.reason, now);
       }
     }
-    requestLog.writeAttemptFailed(state, entry, result.kind);
+    requestLog.writeAttemptFailed(state, entry, result);
   }
 
   function tryTakeRepeat(state: RequestState): boolean {
