--- a/packages/gateway/test/backend.ts
+++ b/packages/gateway/test/backend.ts
@@ -80,11 +80,15 @@
 
 /** Returns the head of a chunked stream of events. */
 export function formatStreamHead(headers: string[] = []): string {
+  return formatUnframedStreamHead(['Transfer-Encoding: chunked', ...headers]);
+}
+
+/** Returns the head of a stream of events that ends with its connection. */
+export function formatUnframedStreamHead(headers: string[] = []): string {
   const lines = [
     'HTTP/1.1 200 OK',
     'X-Masticbend-Server-Stamp: stamp',
     'Content-Type: text/event-stream',
-    'Transfer-Encoding: chunked',
     ...headers,
   ];
   return `${lines.join('\r\n')}\r\n\r\n`;
