Streams are sent to callers without the length that their server announced

Cause: the entry forwarded the content-length of the first server's answer. Where that server broke off and another one resumed the stream with other bytes, for example a comment, the caller cut the body at the announced length or waited for the rest. Streams are sent in chunks now. The new test failed before: the last event was cut.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -23,6 +23,11 @@
 /** Answers up to this size are buffered until they are complete; longer ones are relayed. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
 
+interface AnswerHead {
+  status: number;
+  headers: HeaderMap;
+}
+
 /** How an event stream was framed, and how far it was relayed. */
 export interface StreamTrace {
   framing: Framing;
@@ -93,7 +98,7 @@
   events: AttemptEvents,
 ): Attempt {
   const splitter = createEventSplitter();
-  let head: { status: number; headers: HeaderMap } | undefined;
+  let head: AnswerHead | undefined;
   let bufferedChunks: Buffer[] = [];
   let bufferedBytes = 0;
   let isRelaying = false;
@@ -161,10 +166,16 @@
     lastOutputAt = now;
     eventCount += batch.count;
     lastEventId = batch.lastId ?? lastEventId;
-    if (!delivery.hasBegun()) delivery.begin(head!.status, head!.headers);
+    startStream(head!);
     relay(batch.bytes);
   }
 
+  function startStream({ status, headers }: AnswerHead): void {
+    if (delivery.hasBegun()) return;
+    // Another server may continue the stream, so that the length of this answer does not apply.
+    delivery.begin(status, { ...headers, 'content-length': undefined });
+  }
+
   function relay(bytes: Buffer): void {
     if (delivery.write(bytes)) return;
     exchange?.pause();
@@ -206,7 +217,7 @@
     const stream = describeStream();
     if (stream) {
       const remainder = splitter.takeRemainder();
-      if (!delivery.hasBegun()) delivery.begin(head.status, head.headers);
+      startStream(head);
       if (remainder.length > 0) delivery.write(remainder);
     }
     if (stream || isRelaying) {
--- a/packages/gateway/test/answers.test.ts
+++ b/packages/gateway/test/answers.test.ts
@@ -6,6 +6,7 @@
   formatChunk,
   formatEvent,
   formatStreamHead,
+  formatUnframedStreamHead,
   LAST_CHUNK,
   type Arrival,
   type Script,
@@ -226,6 +227,26 @@
     expect(countArrivals()).to.equal(2);
   });
 
+  // A length that the first server announced does not apply to an answer of two servers.
+  it('resume a stream whose length was announced', async () => {
+    const script: Script = ({ headers, socket }) => {
+      if (headers['last-event-id'] === undefined) {
+        const { length } = formatEvents(1, 4);
+        socket.end(
+          `${formatUnframedStreamHead([`Content-Length: ${length}`])}${formatEvents(1, 2)}`,
+        );
+      } else {
+        socket.write(formatStreamHead());
+        socket.write(`${formatChunk(`: resumed\n\n${formatEvents(3, 4)}`)}${LAST_CHUNK}`);
+      }
+    };
+    await start(script, script);
+    const reply = await deployment.call('/resume/a');
+    const body = `${formatEvents(1, 2)}: resumed\n\n${formatEvents(3, 4)}`;
+    expect(reply).to.include({ status: 200, body });
+    expect(reply).not.to.have.property('broken');
+  });
+
   it('resume a resumable stream at another server when it sends no more data', async () => {
     const script: Script = (arrival) => {
       const after = Number(arrival.headers['last-event-id'] ?? 0);
