Streams that end within an event have been broken off

Callers got the events of a stream up to a crash of its server, with the last chunk after them: an answer framed as complete that is not.

Cause: the end of the server's answer was taken for the end of the stream. An answer without length and chunks ends with its connection, and a server that breaks off closes the connection regularly; the entry forwarded the incomplete event and completed its own answer. The class: the end of a connection, or of a message, taken as proof that its content is complete.

Resets were ruled out as cause: tests of those on answers without a length pass.

Now a stream is complete only if it ends between events, whatever the framing; with the end of a connection also only after its first event. Otherwise the attempt is broken: the stream is resumed after its last complete event where its route allows, or the caller's connection is closed without the last chunk. Events that arrive together with the break are still sent to the caller. Blank lines and comments after the last event are no event, and carriage returns end lines as well: streams with these would otherwise be failed now.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -15,7 +15,7 @@
   type HeaderMap,
 } from '@masticbend/platform/ingress';
 import type { BackendServer, ServerNotice } from '@masticbend/settings/routing';
-import { readFraming, type Framing } from './answer-framing.js';
+import { Framing, readFraming } from './answer-framing.js';
 import type { BackendClient, Exchange, ExchangeRequest } from './backend-client.js';
 import type { Delivery } from './delivery.js';
 import { createEventSplitter } from './event-splitter.js';
@@ -214,20 +214,37 @@
       failAttempt('answer ended before its headers');
       return;
     }
-    const stream = describeStream();
-    if (stream) {
-      const remainder = splitter.takeRemainder();
-      startStream(head);
-      if (remainder.length > 0) delivery.write(remainder);
-    }
-    if (stream || isRelaying) {
+    if (isEventStream()) {
+      finishStream(head);
+    } else if (isRelaying) {
       delivery.end();
-      finish({ kind: 'delivered', status: head.status, stream });
+      finish({ kind: 'delivered', status: head.status });
     } else {
       finish({ kind: 'answer', ...head, body: Buffer.concat(bufferedChunks) });
     }
   }
 
+  /**
+   * Ends a stream whose answer has ended. The end of the answer alone does not show that the stream
+   * is complete: a server that breaks off may end its answer regularly.
+   */
+  function finishStream({ status, headers }: AnswerHead): void {
+    if (splitter.isWithinEvent()) {
+      failAttempt('ended within an event');
+      return;
+    }
+    if (eventCount === 0 && readFraming(headers) === Framing.Connection) {
+      failAttempt('ended before the first event');
+      return;
+    }
+    const stream = describeStream();
+    startStream({ status, headers });
+    const remainder = splitter.takeRemainder();
+    if (remainder.length > 0) delivery.write(remainder);
+    delivery.end();
+    finish({ kind: 'delivered', status, stream });
+  }
+
   exchange = client.send(
     server,
     {
--- a/packages/gateway/src/delivery.ts
+++ b/packages/gateway/src/delivery.ts
@@ -69,7 +69,8 @@
       if (isFinished) return;
       if (begun) {
         isFinished = true;
-        response.destroy();
+        // Bytes written before are sent at the end of this turn of the event loop.
+        setImmediate(() => response.destroy());
         return;
       }
       const { status, headers, body } = createFailureAnswer(failure);
--- a/packages/gateway/src/event-splitter.ts
+++ b/packages/gateway/src/event-splitter.ts
@@ -15,6 +15,8 @@
 export interface EventSplitter {
   /** Takes the next chunk; returns undefined when it completes no event. */
   push: (chunk: Buffer) => CompleteEvents | undefined;
+  /** Returns whether the stream so far ends within an event; blank lines and comments are none. */
+  isWithinEvent: () => boolean;
   /** Returns the number of bytes after the last complete event. */
   countPendingBytes: () => number;
   /** Removes and returns the bytes after the last complete event. */
@@ -24,6 +26,8 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const NO_BYTES = Buffer.alloc(0);
+const EVENT_ID = /^id: ?(.*)$/gm;
+const BLANK_LINES_AND_COMMENTS = /^(?:(?::[^\r\n]*)?[\r\n])*$/;
 
 /** Returns a splitter for a new stream. */
 export function createEventSplitter(): EventSplitter {
@@ -43,6 +47,7 @@
       const complete = bytes.subarray(0, end);
       return { bytes: complete, count, lastId: findLastId(complete) };
     },
+    isWithinEvent: () => !BLANK_LINES_AND_COMMENTS.test(pending.toString('latin1')),
     countPendingBytes: () => pending.length,
     takeRemainder() {
       const remainder = pending;
@@ -52,20 +57,30 @@
   };
 }
 
-/** Returns the offset after the empty line that ends an event, or 0 if there is none. */
+/**
+ * Returns the offset after the blank line that ends an event, or 0 if there is none. A line ends
+ * with a line feed, a carriage return or both.
+ */
 function findEventEnd(bytes: Buffer, start: number): number {
-  for (let at = bytes.indexOf(LINE_FEED, start); at >= 0; at = bytes.indexOf(LINE_FEED, at + 1)) {
-    const next = bytes[at + 1];
-    if (next === LINE_FEED) return at + 2;
-    if (next === CARRIAGE_RETURN && bytes[at + 2] === LINE_FEED) return at + 3;
+  for (let at = start; at < bytes.length; at += 1) {
+    if (isLineBreak(bytes[at])) {
+      const next = findLineBreakEnd(bytes, at);
+      if (isLineBreak(bytes[next])) return findLineBreakEnd(bytes, next);
+      at = next - 1;
+    }
   }
   return 0;
 }
 
+function isLineBreak(byte: number | undefined): boolean {
+  return byte === LINE_FEED || byte === CARRIAGE_RETURN;
+}
+
+function findLineBreakEnd(bytes: Buffer, at: number): number {
+  return bytes[at] === CARRIAGE_RETURN && bytes[at + 1] === LINE_FEED ? at + 2 : at + 1;
+}
+
 function findLastId(events: Buffer): string | undefined {
-  const text = events.toString('latin1');
-  const at = text.startsWith('id:') ? 0 : -1;
-  const last = Math.max(text.lastIndexOf('\nid:') + 1, at);
-  if (last < 0 || !text.startsWith('id:', last)) return undefined;
-  return /^id: ?([^\r\n]*)/.exec(text.slice(last))?.[1];
+  const ids = events.toString('latin1').matchAll(EVENT_ID);
+  return [...ids].at(-1)?.[1];
 }
