Answers to callers of HTTP/1.0 that break off are reset

An answer without chunks ends with its connection. Where such an answer broke off, at a caller of HTTP/1.0, both entries closed the connection regularly, and so did an entry that was stopped within it: the caller took the part for the whole.

Such a connection is reset now. A process that is killed still closes its connections regularly; nothing in the process can change that, callers that need to know use HTTP/1.1.

--- a/packages/entry/src/caller-sink.ts
+++ b/packages/entry/src/caller-sink.ts
@@ -5,6 +5,7 @@
  * ends with an error event and without the terminating chunk, any other stream is interrupted.
  */
 import { validateHeaderValue, type ServerResponse } from 'node:http';
+import { abortAnswer } from '@masticbend/kernel/broken-answer';
 import { createFailureAnswer, ErrorKind, type Failure } from '@masticbend/protocol/error';
 import type { AnswerSink } from './answer.js';
 import { sendFailure } from './failure-answer.js';
@@ -39,7 +40,7 @@
     ended = true;
     if (!response.headersSent) sendFailure(response, failure);
     else if (hasEvents) finishWithEvent(response, failure);
-    else response.destroy();
+    else abortAnswer(response);
   }
 
   return {
--- a/packages/entry/src/failure-answer.ts
+++ b/packages/entry/src/failure-answer.ts
@@ -1,16 +1,17 @@
 /** Sends failure answers to callers. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { abortAnswer } from '@masticbend/kernel/broken-answer';
 import { createFailureAnswer, type Failure } from '@masticbend/protocol/error';
 
 /** Time a caller has to finish sending the body of a refused request. */
 const DISCARD_TIMEOUT_MS = 1_000;
 
-/** Sends the answer to a failure; destroys the connection if another answer has been started. */
+/** Sends the answer to a failure; aborts another answer that has been started. */
 export function sendFailure(response: ServerResponse, failure: Failure, allow?: string): void {
   if (response.destroyed || response.writableEnded) return;
   if (response.headersSent) {
-    response.destroy();
+    abortAnswer(response);
     return;
   }
   const answer = createFailureAnswer(failure);
--- a/packages/entry/test/raw-caller.ts
+++ b/packages/entry/test/raw-caller.ts
@@ -10,6 +10,8 @@
   /** Waits until the received text contains `part`. */
   waitFor: (part: string) => Promise<void>;
   isClosed: () => boolean;
+  /** Returns whether the entry reset the connection. */
+  isReset: () => boolean;
   pause: () => void;
   close: () => void;
 }
@@ -21,7 +23,10 @@
   socket.on('data', (chunk) => {
     text += chunk.toString('latin1');
   });
-  socket.on('error', () => undefined);
+  let reset = false;
+  socket.on('error', () => {
+    reset = true;
+  });
   socket.on('close', () => {
     closed = true;
   });
@@ -30,6 +35,7 @@
     read: () => text,
     waitFor: (part) => waitUntil(() => text.includes(part), `"${part}" in ${text}`),
     isClosed: () => closed,
+    isReset: () => reset,
     pause: () => socket.pause(),
     close: () => socket.destroy(),
   };
--- a/packages/entry/test/streaming.test.ts
+++ b/packages/entry/test/streaming.test.ts
@@ -19,6 +19,8 @@
 import { waitFor, waitUntil } from './wait.js';
 
 const CHUNK = Buffer.alloc(32 * 1024, 'data: xxxxxxxxx\n');
+/** Time between a part of an answer and its failure, so that the caller has read the part. */
+const BREAK_DELAY_MS = 50;
 const DONE = Buffer.from('data: [DONE]\n\n');
 
 /** Streams `chunkCount` chunks to each request, limited by its credit. */
@@ -119,6 +121,30 @@
     expect(answer.text).not.to.include('[DONE]');
   });
 
+  // Without chunks, a regular end of the connection would be that of a complete answer.
+  it('resets the connection of a caller of HTTP/1.0 whose answer fails part-way', async () => {
+    const [, entry] = await start((agent, message) => {
+      if (message.kind === 'reserve') sendClaim(agent, message.request);
+      if (message.kind !== 'grant') return;
+      const { request } = message;
+      const headers = { 'content-type': 'text/plain' };
+      agent.send({ kind: 'head', request, status: 200, headers, recorded: false });
+      agent.send({ kind: 'data', request, sequence: 0, data: Buffer.from('part') });
+      setTimeout(
+        () => agent.send({ kind: 'failed', request, failure: { kind: 'backend-truncated' } }),
+        BREAK_DELAY_MS,
+      );
+    });
+    const caller = openRawCaller(entry.port);
+    const body = JSON.stringify({ model: 'praline', messages: [], stream: true });
+    const length = `content-length: ${body.length}`;
+    const text = formatRequest('POST', '/v1/chat/completions', [length], body);
+    caller.write(text.replace('HTTP/1.1', 'HTTP/1.0'));
+    await waitUntil(caller.isClosed, 'the end of the connection');
+    expect(caller.read()).to.include('part');
+    expect(caller.isReset()).to.equal(true);
+  });
+
   it('ends a stream beyond its limit with stream-too-large and aborts the call', async () => {
     const [agent, entry] = await start(createStreaming(40, new Map()));
     const answer = await sendChat(entry, {}, { stream: true });
--- a/packages/gateway/src/delivery.ts
+++ b/packages/gateway/src/delivery.ts
@@ -4,6 +4,7 @@
  * can only be signalled by closing the connection.
  */
 import type { ServerResponse } from 'node:http';
+import { abortAnswer } from '@masticbend/kernel/broken-answer';
 import {
   formatRetryAfter,
   selectAnswerHeaders,
@@ -70,7 +71,7 @@
       if (begun) {
         isFinished = true;
         // Bytes written before are sent at the end of this turn of the event loop.
-        setImmediate(() => response.destroy());
+        setImmediate(() => abortAnswer(response));
         return;
       }
       const { status, headers, body } = createFailureAnswer(failure);
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -4,6 +4,7 @@
  * but each answer has the header `connection: close`.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { abortAnswer } from '@masticbend/kernel/broken-answer';
 import type { Clock } from '@masticbend/kernel/clock';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import { readRequestMetadata } from '@masticbend/platform/ingress';
@@ -61,12 +62,16 @@
   const { clock, log, requests } = options;
   let isStopping = false;
   let isRefusing = false;
+  /** Responses whose answers have not ended. */
+  const openResponses = new Set<ServerResponse>();
 
   function getLimits(): CallerLimits {
     return options.getLimits() ?? DEFAULT_CALLER_LIMITS;
   }
 
   function handleRequest(request: IncomingMessage, response: ServerResponse): void {
+    openResponses.add(response);
+    response.once('close', () => openResponses.delete(response));
     if (isStopping) response.setHeader('connection', 'close');
     const failure = isRefusing
       ? { kind: ErrorKind.Stopping, retryAfterMs: STOPPING_RETRY_AFTER_MS }
@@ -132,6 +137,9 @@
     closeIdle: () => server.closeIdleConnections(),
     stop() {
       server.close();
+      for (const response of openResponses) {
+        if (response.headersSent && !response.writableEnded) abortAnswer(response);
+      }
       server.closeAllConnections();
     },
   };
