Answers with another transfer coding than chunked end with their connection

Cause: any Transfer-Encoding counted as a frame of its own, so that a reset of the connection was not distinguished from the end of the answer where the coding is not chunked (RFC 9112, 6.3): callers got the part as the whole. Found while looking for the cause of the truncated streams in other framings. The new test failed before with 200.

--- a/packages/gateway/src/answer-framing.ts
+++ b/packages/gateway/src/answer-framing.ts
@@ -9,8 +9,13 @@
 } as const;
 export type Framing = (typeof Framing)[keyof typeof Framing];
 
-/** Reads the framing of an answer that has a body. */
+const LAST_CODING_CHUNKED = /(^|,)\s*chunked\s*$/i;
+
+/** Reads the framing of an answer that has a body, as defined in RFC 9112, section 6.3. */
 export function readFraming(headers: HeaderMap): Framing {
-  if (headers['transfer-encoding'] !== undefined) return Framing.Chunked;
+  const codings = headers['transfer-encoding'];
+  if (codings !== undefined) {
+    return LAST_CODING_CHUNKED.test(String(codings)) ? Framing.Chunked : Framing.Connection;
+  }
   return headers['content-length'] === undefined ? Framing.Connection : Framing.Length;
 }
--- a/packages/gateway/test/answers.test.ts
+++ b/packages/gateway/test/answers.test.ts
@@ -181,6 +181,17 @@
     );
   });
 
+  // With another transfer coding than chunked, an answer ends with its connection as well.
+  it('never deliver an answer with another transfer coding whose connection was reset', async () => {
+    await start(({ socket }) => {
+      socket.write(
+        'HTTP/1.1 200 OK\r\nX-Masticbend-Server-Stamp: s\r\nTransfer-Encoding: identity\r\n\r\npart',
+      );
+      setImmediate(() => socket.resetAndDestroy());
+    });
+    expect((await deployment.call('/once/a')).status).to.equal(502);
+  });
+
   it('report an unknown outcome when a sent request exceeds the route timeout', async () => {
     await start(neverAnswer);
     const startedAt = performance.now();
