Soak: streams without chunks and streams that end within an event

The soak's servers framed all streams in chunks and ended them by a reset or not at all, so that the truncated streams of the incident could not occur.

--- a/packages/bench/src/soak/engine.ts
+++ b/packages/bench/src/soak/engine.ts
@@ -27,6 +27,18 @@
   after: number;
 }
 
+/** Fractions of a backend server's requests with a fault, 0 to 1. */
+export interface EngineFaults {
+  /** Refused as not run. */
+  refusedFraction: number;
+  /** Failed with status 500. */
+  failedFraction: number;
+  /** Streams that end within an event, with a regular end of the answer. */
+  truncatedFraction: number;
+  /** Streams without chunks, which end with their connection. */
+  unframedFraction: number;
+}
+
 /** A running backend server. */
 export interface SoakEngine {
   id: string;
@@ -34,8 +46,7 @@
   runs: Run[];
   /** Resets every open connection. */
   resetConnections: () => void;
-  /** Fractions (0 to 1) of the requests to refuse as not run, and to fail with status 500. */
-  faults: { refusedFraction: number; failedFraction: number };
+  faults: EngineFaults;
   close: () => void;
 }
 
@@ -58,7 +69,12 @@
 ): Promise<SoakEngine> {
   const runs: Run[] = [];
   const sockets = new Set<Socket>();
-  const faults = { refusedFraction: 0, failedFraction: 0 };
+  const faults: EngineFaults = {
+    refusedFraction: 0,
+    failedFraction: 0,
+    truncatedFraction: 0,
+    unframedFraction: 0,
+  };
 
   function answer(request: IncomingMessage, response: ServerResponse): void {
     const requestId = String(request.headers[REQUEST_ID_HEADER]);
@@ -75,10 +91,19 @@
     runs.push({ request: requestId, server: id, startedAt: performance.now(), after });
     response.setHeader(SIGNATURE_HEADER, `stamp-${id}`);
     if (draw() < faults.failedFraction) response.writeHead(500).end('failed');
-    else if (request.url!.includes('stream')) sendEvents(response, requestId, after);
+    else if (request.url!.includes('stream')) sendStream(response, requestId, after);
     else setTimeout(() => response.end(formatBody(requestId)), ANSWER_DELAY_MS);
   }
 
+  function sendStream(response: ServerResponse, requestId: string, after: number): void {
+    if (draw() < faults.unframedFraction) response.removeHeader('transfer-encoding');
+    const truncatedAfter =
+      draw() < faults.truncatedFraction
+        ? after + Math.floor(draw() * (EVENTS_PER_STREAM - after))
+        : EVENTS_PER_STREAM;
+    sendEvents(response, requestId, after, truncatedAfter);
+  }
+
   const server = createServer((request, response) => {
     request.resume();
     request.on('end', () => answer(request, response));
@@ -110,14 +135,16 @@
   return `id: ${id}\ndata: ${request} ${id}\n\n`;
 }
 
-function sendEvents(response: ServerResponse, request: string, after: number): void {
+/** Sends events up to `last`; a stream that ends before its last event ends within the next one. */
+function sendEvents(response: ServerResponse, request: string, after: number, last: number): void {
   response.writeHead(200, { 'content-type': 'text/event-stream' });
   let next = after + 1;
   const timer = setInterval(() => {
-    if (next <= EVENTS_PER_STREAM) response.write(formatEvent(request, next));
+    const event = formatEvent(request, next);
+    if (next <= last) response.write(event);
     else {
       clearInterval(timer);
-      response.end();
+      response.end(last < EVENTS_PER_STREAM ? event.slice(0, -3) : undefined);
     }
     next += 1;
   }, EVENT_INTERVAL_MS);
--- a/packages/bench/src/soak/faults.ts
+++ b/packages/bench/src/soak/faults.ts
@@ -15,6 +15,9 @@
  * Fraction of requests that a server with a grey failure refuses, and of the rest that it fails.
  */
 const GREY_FAILURE_FRACTION = 0.3;
+/** Fractions of a server's streams that end within an event, and that have no chunks. */
+const TRUNCATED_FRACTION = 0.3;
+const UNFRAMED_FRACTION = 0.5;
 /** Kills that follow the first one of a series, and the time between them in milliseconds. */
 const REPEATED_KILLS = 3;
 const KILL_INTERVAL_MS = 250;
@@ -37,6 +40,7 @@
   failStore,
   dropStoreHistory,
   setGreyFailure,
+  setTruncation,
 ];
 
 /** Applies a randomly drawn kind of fault. */
@@ -137,6 +141,19 @@
   };
 }
 
+function setTruncation(cluster: SoakCluster, draw: Draw): ActiveFault {
+  const { id, faults } = chooseOne(cluster.engines, draw);
+  faults.truncatedFraction = TRUNCATED_FRACTION;
+  faults.unframedFraction = UNFRAMED_FRACTION;
+  return {
+    name: `${id} truncates streams`,
+    undo() {
+      faults.truncatedFraction = 0;
+      faults.unframedFraction = 0;
+    },
+  };
+}
+
 function listProcesses(cluster: SoakCluster): SoakProcess[] {
   return [...cluster.entries, ...cluster.agents];
 }
