Log the software version of servers and the streams that callers take up

The logs could not tell whether a stream went on at another software version, nor which attempt had begun it. request-placed and server-changed have software now, request-placed also resumes and after.

--- a/packages/bench/src/soak/cluster.ts
+++ b/packages/bench/src/soak/cluster.ts
@@ -94,6 +94,7 @@
         dataCentre: `z${index % 2}`,
         slots: SLOTS_PER_ENGINE,
         state: leaving.has(id) ? ServerState.Leaving : ServerState.Ready,
+        softwareVersion: 'v1',
         coldMs: 0,
       });
     });
--- a/packages/gateway/src/request-log.ts
+++ b/packages/gateway/src/request-log.ts
@@ -41,6 +41,7 @@
         route: state.route.name,
         server: server.id,
         born: server.bornAt,
+        software: server.softwareVersion,
         version: state.version,
         held: countHeld(entry),
         own: entry.running,
@@ -51,6 +52,8 @@
         waitedMs: getTotalMs(state),
         attempt: state.sentCount + 1,
         returned: state.isCallerRetry,
+        resumes: state.incoming.metadata.resumes,
+        after: state.lastEventId ?? state.incoming.metadata.lastEventId,
       });
     },
     writeAttemptFailed(state, { server }, result) {
--- a/packages/gateway/src/servers-service.ts
+++ b/packages/gateway/src/servers-service.ts
@@ -46,6 +46,7 @@
         service: server.service,
         address: server.address,
         born: server.bornAt,
+        software: server.softwareVersion,
         state: server.state,
         change,
         revision: getRevision(),
--- a/packages/gateway/test/placement.test.ts
+++ b/packages/gateway/test/placement.test.ts
@@ -50,6 +50,7 @@
       dataCentre: 'near',
       slots: SLOTS,
       state: ServerState.Ready,
+      softwareVersion: 'v1',
       coldMs: 0,
     })),
   );
--- a/packages/scheduling/test/server-list.test.ts
+++ b/packages/scheduling/test/server-list.test.ts
@@ -11,6 +11,7 @@
     dataCentre: 'ota',
     slots: 11,
     state: ServerState.Ready,
+    softwareVersion: 'v1',
     coldMs: 0,
     ...changes,
   };
--- a/packages/scheduling/test/server-notice.test.ts
+++ b/packages/scheduling/test/server-notice.test.ts
@@ -27,6 +27,7 @@
     dataCentre: 'near',
     slots: 4,
     state: ServerState.Ready,
+    softwareVersion: 'v1',
     coldMs: 0,
     ...changes,
   };
--- a/packages/scheduling/test/server-pool.test.ts
+++ b/packages/scheduling/test/server-pool.test.ts
@@ -18,6 +18,7 @@
     dataCentre: 'near',
     slots: SLOTS,
     state: ServerState.Ready,
+    softwareVersion: 'v1',
     coldMs: 0,
     ...changes,
   };
--- a/packages/settings/src/routing.ts
+++ b/packages/settings/src/routing.ts
@@ -130,6 +130,8 @@
   dataCentre: string;
   slots: number;
   state: ServerState;
+  /** Version of its software, not of its model; empty when it states none. */
+  softwareVersion: string;
   /** Remaining time for which it is slow after its start, in milliseconds. */
   coldMs: number;
 }
