Ports of tests and benchmarks are reserved until the process ends

Seen beside load: EADDRINUSE in the tests of leaving agents. Cause: tests looked for a free port in the range of local ports of connections, closed it and bound it later; another process or an outgoing connection could take it in between. The bench drew random ports below that range and checked them, soak and mesh tests derived theirs from the process id; two processes could agree on one.

All take their ports from one place now: blocks below the range of local ports, each owned while its process listens on the block's first port. findFreePort and findFreePorts are gone.

--- a/packages/agent/test/harness.ts
+++ b/packages/agent/test/harness.ts
@@ -3,12 +3,13 @@
  * entries and a real HTTP connection to the backend server.
  */
 import { once } from 'node:events';
-import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
+import { connect, type Socket } from 'node:net';
 import { Pool } from 'undici';
 import { createSystemClock, type Clock } from '@masticbend/kernel/clock';
 import { createSilentLogger } from '@masticbend/kernel/log';
 import { createIdempotencyRecords } from '@masticbend/state/idempotency';
 import { createTableClient } from '@masticbend/state/table';
+import { reservePorts } from '@masticbend/standins/ports';
 import { createConnection, type Connection } from '@masticbend/protocol/connection';
 import type {
   BackendCall,
@@ -82,7 +83,7 @@
     describe: () => ({ revision: 0, load: dispatcher.report() }),
   });
   links.mesh = mesh;
-  const port = await findFreePort();
+  const [port] = (await reservePorts(1)) as [number];
   await mesh.listen('127.0.0.1', port);
   return {
     port,
@@ -266,13 +267,3 @@
     });
   }
 }
-
-/** Returns a port that was free when it was checked. */
-export async function findFreePort(): Promise<number> {
-  const server = createServer().listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const { port } = server.address() as AddressInfo;
-  server.close();
-  await once(server, 'close');
-  return port;
-}
--- a/packages/agent/test/leaving.test.ts
+++ b/packages/agent/test/leaving.test.ts
@@ -4,6 +4,7 @@
 import { join } from 'node:path';
 import { expect } from 'chai';
 import { sendJson, startStandIn, waitFor, type StandIn } from '@masticbend/standins/http';
+import { reservePorts } from '@masticbend/standins/ports';
 import { startService, type Service } from '@masticbend/standins/service';
 import { startTable, type Table } from '@masticbend/standins/table';
 import { createAgent } from '../src/agent.js';
@@ -11,7 +12,6 @@
   createBooking,
   createWork,
   dialAgent,
-  findFreePort,
   grantClaim,
   reserveClaim,
   SECRET,
@@ -70,7 +70,7 @@
     instances = await startStandIn(0, (_request, response) =>
       sendJson(response, 200, instanceList),
     );
-    const ports = [await findFreePort(), await findFreePort()];
+    const ports = await reservePorts(2);
     agent = await createAgent({
       instance: 'agent-1',
       dataCentre: 'ostalpen-1',
--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -4,12 +4,12 @@
  * caller starts.
  */
 import { spawn, type ChildProcess } from 'node:child_process';
-import { createHash, randomBytes, randomInt } from 'node:crypto';
+import { createHash, randomBytes } from 'node:crypto';
 import { closeSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { createRequire } from 'node:module';
-import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { reservePorts } from '@masticbend/standins/ports';
 import { request } from 'undici';
 
 /** Timeout for a process to become ready, in milliseconds. */
@@ -20,12 +20,6 @@
 /** Time after which a process that was asked to stop is killed, in milliseconds. */
 const EXIT_TIMEOUT_MS = 40_000;
 
-/** Range of the ports that processes listen on. */
-const FIRST_PORT = 10_000;
-const LAST_PORT = 32_000;
-/** Ports that this process allocated; they may not be in use yet. */
-const allocatedPorts = new Set<number>();
-
 /** Configuration of the service that the stand-in for bookings and lookups implements. */
 export const PARCELS_SERVICE = `[services.parcels]
 [[services.parcels.operations]]
@@ -99,7 +93,7 @@
   const folder = mkdtempSync(join(tmpdir(), 'masticbend-'));
   const secretFile = join(folder, 'mesh-secret');
   writeFileSync(secretFile, randomBytes(32).toString('hex'), { mode: 0o600 });
-  const ports = await findFreePorts(plan.backends.length * 2 + plan.entries * 2);
+  const ports = await reservePorts(plan.backends.length * 2 + plan.entries * 2);
   const takeAddress = () => `127.0.0.1:${ports.pop()!}`;
   const agentAddresses = plan.backends.map(takeAddress);
   const configurationFile = join(folder, 'configuration.toml');
@@ -150,29 +144,6 @@
   return code;
 }
 
-/**
- * Returns ports that are free at the moment. They lie below the ephemeral port range, so that no
- * outgoing connection takes one before it is used.
- */
-export async function findFreePorts(count: number): Promise<number[]> {
-  const ports = new Set<number>();
-  while (ports.size < count) {
-    const port = randomInt(FIRST_PORT, LAST_PORT);
-    if (allocatedPorts.has(port) || !(await isPortFree(port))) continue;
-    allocatedPorts.add(port);
-    ports.add(port);
-  }
-  return [...ports];
-}
-
-function isPortFree(port: number): Promise<boolean> {
-  return new Promise((resolve) => {
-    const server = createServer();
-    server.once('error', () => resolve(false));
-    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
-  });
-}
-
 interface DeploymentContext {
   folder: string;
   secretFile: string;
--- a/packages/bench/src/faults/naive-deployment.ts
+++ b/packages/bench/src/faults/naive-deployment.ts
@@ -3,8 +3,8 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
+import { reservePorts } from '@masticbend/standins/ports';
 import {
-  findFreePorts,
   Program,
   startCommand,
   stopProcess,
@@ -19,7 +19,7 @@
 /** Starts the proxies in front of these backend servers. */
 export async function startNaiveDeployment(backends: readonly BackendPlan[]): Promise<Deployment> {
   const folder = mkdtempSync(join(tmpdir(), 'masticbend-naive-'));
-  const ports = await findFreePorts(PROXY_COUNT);
+  const ports = await reservePorts(PROXY_COUNT);
   const entries = ports.map((port, index) => startProxy(folder, index, port, backends));
   await Promise.all(entries.map(waitUntilReady));
   return {
--- a/packages/bench/src/soak/cluster.ts
+++ b/packages/bench/src/soak/cluster.ts
@@ -12,21 +12,13 @@
   writeConfiguration,
 } from '@masticbend/platform/deployment-standin';
 import { startStoreStandIn, type StoreStandIn } from '@masticbend/platform/store-standin';
+import { reservePorts } from '@masticbend/standins/ports';
 import { ServerState } from '@masticbend/settings/routing';
 import { startEngine, type SoakEngine } from './engine.js';
 import { startRelay, type Relay } from './relay.js';
 
-/**
- * Ports of the processes, the same on each loopback address. The range depends on the process id,
- * so that concurrent soak tests don't collide.
- */
-const FIRST_PORT = 20_000 + (process.pid % 1_000) * 4;
-const PORTS = {
-  caller: FIRST_PORT,
-  readiness: FIRST_PORT + 1,
-  mesh: FIRST_PORT + 2,
-  metrics: FIRST_PORT + 3,
-};
+/** Ports of the processes, the same on each loopback address. */
+const [CALLER_PORT, READINESS_PORT, MESH_PORT, METRICS_PORT] = await reservePorts(4);
 /** Delay before an exited process is restarted, in milliseconds. */
 const RESTART_DELAY_MS = 300;
 /** Interval between registrations of the backend servers, in milliseconds. */
@@ -125,7 +117,7 @@
     storeRelays.push(relay);
     const settings = formatEntry(`entry-${index}`, host, `z${index % 2}`, relay.address);
     const entry = startProcess(`entry-${index}`, 'entry', settings);
-    entry.address = `${host}:${PORTS.caller}`;
+    entry.address = `${host}:${CALLER_PORT}`;
     entries.push(entry);
   }
   const agents = engines.map(({ address }, index) => {
@@ -160,10 +152,10 @@
 function formatEntry(name: string, host: string, zone: string, store: string): string {
   return `instance = "${name}"
 dataCentre = "${zone}"
-callerAddress = "${host}:${PORTS.caller}"
-readinessAddress = "${host}:${PORTS.readiness}"
-meshAddress = "${host}:${PORTS.mesh}"
-metricsAddress = "${host}:${PORTS.metrics}"
+callerAddress = "${host}:${CALLER_PORT}"
+readinessAddress = "${host}:${READINESS_PORT}"
+meshAddress = "${host}:${MESH_PORT}"
+metricsAddress = "${host}:${METRICS_PORT}"
 storeAddress = "${store}"
 [bounds]
 graceS = ${BOUNDS.graceS}
@@ -179,7 +171,7 @@
 
 function formatAgent(name: string, host: string): string {
   return `instance = "${name}"
-meshAddress = "${host}:${PORTS.mesh}"
-metricsAddress = "${host}:${PORTS.metrics}"
+meshAddress = "${host}:${MESH_PORT}"
+metricsAddress = "${host}:${METRICS_PORT}"
 `;
 }
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -1,7 +1,7 @@
 /** One entry with a store stand-in and scripted backend servers, all on loopback. */
-import { createServer, type AddressInfo } from 'node:net';
 import { request as send } from 'undici';
 import { startStoreStandIn, type StoreStandIn } from '@masticbend/platform/store-standin';
+import { reservePorts } from '@masticbend/standins/ports';
 import { createGateway, type Gateway } from '../src/gateway.js';
 import type { GatewaySettings } from '../src/settings.js';
 import { startBackend, type Script, type ScriptedBackend } from './backend.js';
@@ -164,7 +164,7 @@
 }
 
 async function createSettings(storeAddress: string): Promise<GatewaySettings> {
-  const ports = await findFreePorts(4);
+  const ports = await reservePorts(4);
   const [callerAddress, readinessAddress, meshAddress, metricsAddress] = ports.map(
     (port) => `127.0.0.1:${port}`,
   ) as [string, string, string, string];
@@ -189,24 +189,3 @@
     },
   };
 }
-
-async function findFreePorts(count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer());
-  const ports = await Promise.all(
-    servers.map(
-      (server) =>
-        new Promise<number>((resolve) => {
-          server.listen(0, '127.0.0.1', () => resolve((server.address() as AddressInfo).port));
-        }),
-    ),
-  );
-  await Promise.all(
-    servers.map(
-      (server) =>
-        new Promise((resolve) => {
-          server.close(resolve);
-        }),
-    ),
-  );
-  return ports;
-}
--- a/packages/gateway/test/sharing.test.ts
+++ b/packages/gateway/test/sharing.test.ts
@@ -5,13 +5,12 @@
 import { createSilentLogger } from '@masticbend/kernel/log';
 import { createStore } from '@masticbend/platform/store';
 import type { AccountUsage } from '@masticbend/scheduling/shared-limit';
+import { reservePorts } from '@masticbend/standins/ports';
 import { createMembers, type Members } from '../src/members.js';
 import { createPeerMesh, type PeerMesh, type PeerReport } from '../src/peer-mesh.js';
 import { createEraStore, type EraStore } from '../src/store-era.js';
 import { waitUntil } from './harness.js';
 
-/** One port for all entries; it differs between concurrent test runs. */
-const PORT = 16_000 + (process.pid % 1_000);
 /** Time within which a stopped peer must no longer be live. */
 const PEER_LOSS_TIMEOUT_MS = 1_000;
 /** Time within which a new entry is connected to all others. */
@@ -32,12 +31,14 @@
   let standIn: StoreStandIn;
   let store: EraStore;
   let entries: Entry[];
+  /** One port for all entries. */
+  let port: number;
 
   /** Starts an entry; all use the same port on different loopback addresses. */
   async function startEntry(index: number): Promise<Entry> {
     const clock = createSystemClock();
     const log = createSilentLogger();
-    const self = { instance: `entry-${index}`, address: `127.0.0.${index}:${PORT}` };
+    const self = { instance: `entry-${index}`, address: `127.0.0.${index}:${port}` };
     const incarnation = `${index}-${performance.now()}`;
     const usage = new Map<string, AccountUsage>();
     const entry: Entry = {
@@ -87,6 +88,7 @@
   beforeEach(async () => {
     standIn = await startStoreStandIn();
     store = createEraStore(createStore(standIn.address));
+    [port] = (await reservePorts(1)) as [number];
     entries = await Promise.all([1, 2, 3].map(startEntry));
     await waitUntil(() => entries.every(({ livePeers }) => livePeers === 2));
   });
