Failing tests: streams are resumed at servers of another software version

Where the servers of a service run several software versions, an entry that resumes a stream, and one at which a caller takes up its stream, choose among all of them.

--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -31,6 +31,13 @@
     { ...ROUTE, name: 'open', prefix: '/open/', route_kind: 'idempotent', anonymous: true },
     { ...ROUTE, name: 'short', prefix: '/short/', route_kind: 'non_idempotent', timeout_ms: 300 },
     { ...ROUTE, name: 'stream', prefix: '/stream/', route_kind: 'streaming' },
+    {
+      ...ROUTE,
+      name: 'begin',
+      prefix: '/begin/',
+      route_kind: 'streaming',
+      resumable: true,
+    },
     {
       ...ROUTE,
       name: 'resume',
@@ -70,6 +77,16 @@
   headers?: Record<string, string>;
   body?: string;
   signal?: AbortSignal;
+  /** Caller address of the entry; that of the deployment's own entry by default. */
+  address?: string;
+}
+
+/** What differs from the default deployment. */
+export interface DeploymentOptions {
+  /** Address on which the backend servers listen. */
+  host?: string;
+  /** Software versions of the backend servers, in their order. */
+  versions?: readonly string[];
 }
 
 export interface Reply {
@@ -80,8 +97,11 @@
   broken?: boolean;
 }
 
-/** Starts an entry in front of backend servers that listen on `host`. */
-export async function startDeployment(scripts: Script[], host = '127.0.0.1'): Promise<Deployment> {
+/** Starts an entry in front of backend servers. */
+export async function startDeployment(
+  scripts: Script[],
+  { host = '127.0.0.1', versions = [] }: DeploymentOptions = {},
+): Promise<Deployment> {
   const store = await startStoreStandIn();
   const backends = await Promise.all(scripts.map((script) => startBackend(script, host)));
   const settings = await createSettings(store.address);
@@ -96,23 +116,27 @@
       state: 'ready',
       cold_left_ms: 0,
       born: 1,
+      version: versions[index] ?? 'v1',
       ...changes,
     });
   }
 
   async function call(path: string, options: CallOptions = {}): Promise<Reply> {
-    const { statusCode, headers, body } = await send(`http://${settings.callerAddress}${path}`, {
-      method: (options.method ?? 'POST') as 'POST',
-      headers: {
-        host: HOST,
-        'x-masticbend-key': KEY,
-        'x-masticbend-attempt-id': 'a1',
-        'x-masticbend-deadline-ms': '1500',
-        ...options.headers,
+    const { statusCode, headers, body } = await send(
+      `http://${options.address ?? settings.callerAddress}${path}`,
+      {
+        method: (options.method ?? 'POST') as 'POST',
+        headers: {
+          host: HOST,
+          'x-masticbend-key': KEY,
+          'x-masticbend-attempt-id': 'a1',
+          'x-masticbend-deadline-ms': '1500',
+          ...options.headers,
+        },
+        body: options.body,
+        signal: options.signal,
       },
-      body: options.body,
-      signal: options.signal,
-    });
+    );
     const chunks: Buffer[] = [];
     try {
       for await (const chunk of body) chunks.push(chunk as Buffer);
@@ -130,12 +154,7 @@
     writeConfiguration: (changes) => store.put('op', 'config', { ...DOCUMENT, ...changes }),
     writeServer,
     call,
-    waitUntilServing: () =>
-      waitUntil(async () => {
-        const { statusCode, body } = await send(`http://${settings.readinessAddress}/v1/readyz`);
-        await body.dump();
-        return statusCode === 200 && store.has('entries', settings.instance);
-      }),
+    waitUntilServing: () => waitUntilServing(settings, store),
     async close() {
       await gateway.kill();
       await Promise.all(backends.map((backend) => backend.close()));
@@ -149,6 +168,15 @@
   return deployment;
 }
 
+/** Waits until an entry is ready and has written its membership row. */
+export function waitUntilServing(settings: GatewaySettings, store: StoreStandIn): Promise<void> {
+  return waitUntil(async () => {
+    const { statusCode, body } = await send(`http://${settings.readinessAddress}/v1/readyz`);
+    await body.dump();
+    return statusCode === 200 && store.has('entries', settings.instance);
+  });
+}
+
 export async function waitUntil(check: () => boolean | Promise<boolean>): Promise<void> {
   const end = performance.now() + WAIT_TIMEOUT_MS;
   while (!(await check())) {
@@ -163,7 +191,7 @@
   });
 }
 
-async function createSettings(storeAddress: string): Promise<GatewaySettings> {
+export async function createSettings(storeAddress: string): Promise<GatewaySettings> {
   const ports = await reservePorts(4);
   const [callerAddress, readinessAddress, meshAddress, metricsAddress] = ports.map(
     (port) => `127.0.0.1:${port}`,
--- a/packages/gateway/test/permits.test.ts
+++ b/packages/gateway/test/permits.test.ts
@@ -38,7 +38,7 @@
 
   beforeEach(async () => {
     open = [];
-    deployment = await startDeployment([hold], ENGINE_HOST);
+    deployment = await startDeployment([hold], { host: ENGINE_HOST });
     await startAgent();
     deployment.writeConfiguration({
       version: 4,
--- /dev/null
+++ b/packages/gateway/test/software-versions.test.ts
@@ -0,0 +1,178 @@
+/**
+ * Streams of a service whose servers run several software versions: what one version began, no
+ * other may continue, at whichever entry the caller takes it up.
+ */
+import { expect } from 'chai';
+import { createGateway, type Gateway } from '../src/gateway.js';
+import {
+  formatChunk,
+  formatEvent,
+  formatStreamHead,
+  LAST_CHUNK,
+  type Arrival,
+  type Script,
+} from './backend.js';
+import {
+  createSettings,
+  startDeployment,
+  waitUntil,
+  waitUntilServing,
+  type CallOptions,
+  type Deployment,
+} from './harness.js';
+
+const EVENTS = 6;
+const BREAK_AFTER = 3;
+const STREAMS = 8;
+
+function formatEvents(first: number, last: number): string {
+  let text = '';
+  for (let id = first; id <= last; id += 1) text += formatEvent(id);
+  return text;
+}
+
+function sendEvents({ headers, socket }: Arrival, last: number): void {
+  const after = Number(headers['last-event-id'] ?? 0);
+  socket.write(`${formatStreamHead()}${formatChunk(formatEvents(after + 1, last))}`);
+  if (last === EVENTS) socket.write(LAST_CHUNK);
+  else setTimeout(() => socket.destroy(), 20);
+}
+
+const sendWhole: Script = (arrival) => sendEvents(arrival, EVENTS);
+/** Breaks off the first attempt of each stream. */
+const breakOffOnce: Script = (arrival) =>
+  sendEvents(arrival, arrival.headers['last-event-id'] === undefined ? BREAK_AFTER : EVENTS);
+
+describe('software versions', () => {
+  let deployment: Deployment;
+  const entries: Gateway[] = [];
+
+  /** Starts servers with these versions; the server at an index registers as `i-INDEX`. */
+  async function start(versions: string[], script: Script): Promise<void> {
+    deployment = await startDeployment(
+      versions.map(() => script),
+      { versions },
+    );
+  }
+
+  /** Starts another entry of the deployment and returns its caller address. */
+  async function startEntry(): Promise<string> {
+    const settings = await createSettings(deployment.store.address);
+    const entry = createGateway(settings);
+    entries.push(entry);
+    await entry.start();
+    await waitUntilServing(settings, deployment.store);
+    return settings.callerAddress;
+  }
+
+  function callStream(id: string, options: CallOptions = {}) {
+    const headers = { 'x-masticbend-attempt-id': id, ...options.headers };
+    return deployment.call('/resume/a', { ...options, headers });
+  }
+
+  function takeUp(id: string, resumes: string, options: CallOptions = {}) {
+    const headers = { 'last-event-id': String(BREAK_AFTER), resumes };
+    return callStream(id, { ...options, headers });
+  }
+
+  /** Returns the indices of the servers to which a request was sent, in order. */
+  function listServers(id: string): number[] {
+    return deployment.backends.flatMap(({ arrivals }, index) =>
+      arrivals.filter(({ headers }) => headers['x-masticbend-attempt-id'] === id).map(() => index),
+    );
+  }
+
+  /** Interrupts a stream after its first events and returns the index of its server. */
+  async function startStream(id: string, address?: string): Promise<number> {
+    for (const backend of deployment.backends) backend.script = breakOffOnce;
+    await deployment.call('/begin/a', {
+      address,
+      headers: { 'x-masticbend-attempt-id': id },
+    });
+    for (const backend of deployment.backends) backend.script = sendWhole;
+    const [server] = listServers(id);
+    return server!;
+  }
+
+  afterEach(async () => {
+    await Promise.all(entries.splice(0).map((entry) => entry.kill()));
+    await deployment.close();
+  });
+
+  // A stream that broke off went on at whichever server was free, also one of another version.
+  it('of servers are not mixed by an entry that resumes a stream', async () => {
+    await start(['v1', 'v2', 'v1', 'v2'], breakOffOnce);
+    for (let index = 0; index < STREAMS; index += 1) {
+      const id = `s${index}`;
+      const reply = await callStream(id);
+      expect(reply).to.include({ status: 200, body: formatEvents(1, EVENTS) });
+      const servers = listServers(id);
+      expect(servers).to.have.length(2);
+      expect(servers[0]! % 2, `${id} at ${servers.join()}`).to.equal(servers[1]! % 2);
+    }
+  });
+
+  it('without another server end a stream that breaks off', async () => {
+    await start(['v1', 'v2'], breakOffOnce);
+    const reply = await callStream('s1');
+    expect(reply).to.include({ status: 200, body: formatEvents(1, BREAK_AFTER), broken: true });
+    expect(listServers('s1')).to.have.length(1);
+  });
+
+  // A caller's stream went on at another version than that of the attempt it named.
+  it('of servers are not mixed when callers take up their streams at the same entry', async () => {
+    await start(['v1', 'v2', 'v1', 'v2'], sendWhole);
+    for (let index = 0; index < STREAMS; index += 1) {
+      const server = await startStream(`s${index}`);
+      const reply = await takeUp(`t${index}`, `s${index}`);
+      expect(reply).to.include({ status: 200, body: formatEvents(BREAK_AFTER + 1, EVENTS) });
+      expect(listServers(`t${index}`).map((next) => next % 2)).to.deep.equal([server % 2]);
+    }
+  });
+
+  it('of servers are not mixed when callers take up their streams at another entry', async () => {
+    await start(['v1', 'v2', 'v1', 'v2'], sendWhole);
+    const address = await startEntry();
+    await waitUntilConnected();
+    for (let index = 0; index < STREAMS; index += 1) {
+      const server = await startStream(`s${index}`);
+      const reply = await takeUp(`t${index}`, `s${index}`, { address });
+      expect(reply).to.include({ status: 200, body: formatEvents(BREAK_AFTER + 1, EVENTS) });
+      expect(listServers(`t${index}`).map((next) => next % 2)).to.deep.equal([server % 2]);
+    }
+  });
+
+  it('of streams are known after the loss of the entry that began them', async () => {
+    await start(['v1', 'v2', 'v1', 'v2'], sendWhole);
+    const first = await startEntry();
+    await waitUntilConnected();
+    const server = await startStream('s1', first);
+    await waitUntil(async () => (await takeUp('t0', 's1')).status === 200);
+    await entries.pop()!.kill();
+    expect((await takeUp('t1', 's1')).status).to.equal(200);
+    expect(listServers('t1').map((next) => next % 2)).to.deep.equal([server % 2]);
+  });
+
+  // Without a record of the attempt that began a stream, any server might mix versions.
+  it('that are unknown make an entry refuse a stream as not run', async () => {
+    await start(['v1', 'v2'], sendWhole);
+    const reply = await takeUp('t1', 'unknown');
+    expect(reply.status).to.equal(503);
+    expect(Number(reply.headers['retry-after'])).to.be.above(0);
+    expect(listServers('t1')).to.deep.equal([]);
+  });
+
+  it('without a server left make an entry refuse a stream as not run', async () => {
+    await start(['v1', 'v2'], sendWhole);
+    const server = await startStream('s1');
+    deployment.writeServer(server, { state: 'draining' });
+    await waitUntil(async () => (await takeUp('t0', 's1')).status === 503);
+    expect((await takeUp('t1', 's1')).status).to.equal(503);
+    expect(listServers('t1')).to.deep.equal([]);
+  });
+
+  async function waitUntilConnected(): Promise<void> {
+    const isConnected = (entry: Gateway) => JSON.stringify(entry.dump()).includes('"heard":true');
+    await waitUntil(() => [deployment.gateway, ...entries].every(isConnected));
+  }
+});
