--- a/packages/entry/src/quota-client.ts
+++ b/packages/entry/src/quota-client.ts
@@ -6,8 +6,8 @@
  * of entries.
  */
 import type { Message, QuotaMessage, QuotaRequestMessage } from '@masticbend/protocol/message';
+import { rankNames } from '@masticbend/scheduling/rendezvous';
 import type { AccountDemand, AccountShare } from './account-limiter.js';
-import { rankNames } from './rendezvous.js';
 
 /** Number of agents that allocate quotas; every entry is connected to all of them. */
 export const QUOTA_ALLOCATOR_COUNT = 32;
--- a/packages/entry/src/subset.ts
+++ b/packages/entry/src/subset.ts
@@ -5,8 +5,8 @@
  * centre first, and always the quota allocators.
  */
 import type { BackendServerConfiguration, Configuration } from '@masticbend/settings/configuration';
+import { rankNames } from '@masticbend/scheduling/rendezvous';
 import { chooseQuotaAllocators } from './quota-client.js';
-import { rankNames } from './rendezvous.js';
 
 /** Number of agents an entry connects to, in addition to the quota allocators. */
 export const SUBSET_SIZE = 160;
