Streams go on only at servers of the software version that began them

Cause: nothing knew versions. Placement chose any server of the service for a request that resumes a stream, and no entry knew which attempt had begun the stream that a caller takes up. The class: state that later requests depend on, held implicitly by one process.

An entry now records the origin of each resumable stream with its first event: service and software version of the server. What is not known, has no server of its version left or belongs to a service that the route no longer has, is refused as not run: a server of another version is never tried. A stream that is taken up keeps the rank of requests on time, as a repeat does, since its prompt has been read once and its caller waits in the middle of it.

Considered: version by hash of the stream's id (does not survive a change of the versions), records in the store (a write call for each stream), reports to all peers (grows with the square of the entries).

--- a/packages/gateway/src/dispatch.ts
+++ b/packages/gateway/src/dispatch.ts
@@ -5,7 +5,7 @@
 import type { Clock } from '@masticbend/kernel/clock';
 import type { ServerPool } from '@masticbend/scheduling/server-pool';
 import type { ServerEntry } from '@masticbend/scheduling/server-entry';
-import type { ServerNotice } from '@masticbend/settings/routing';
+import type { BackendServer, ServerNotice } from '@masticbend/settings/routing';
 import { startAttempt, type AttemptResult } from './attempt.js';
 import type { BackendClient } from './backend-client.js';
 import type { PermitClient } from './permit-client.js';
@@ -20,6 +20,8 @@
   permits: Pick<PermitClient, 'findLoad' | 'reportFirstOutput' | 'release' | 'addRunning'>;
   /** Called with what a backend server says about itself in an answer. */
   onNotice: (entry: ServerEntry, notice: ServerNotice) => void;
+  /** Called when the caller gets the first event of a stream from a server. */
+  onStreamStart: (state: RequestState, server: BackendServer) => void;
   /** Called when an attempt at a backend server has ended; its slot is free again. */
   onResult: (state: RequestState, entry: ServerEntry, result: AttemptResult) => void;
 }
@@ -29,7 +31,7 @@
 
 /** Returns a function that starts attempts. */
 export function createDispatch(options: DispatchOptions): Dispatch {
-  const { clock, client, serverPool, permits, onNotice, onResult } = options;
+  const { clock, client, serverPool, permits, onNotice, onStreamStart, onResult } = options;
 
   /** Occupies a slot of the server until `state.releaseSlot` is called. */
   function takeSlot(state: RequestState, entry: ServerEntry) {
@@ -52,12 +54,13 @@
 
   return (state, entry) => {
     const { incoming, delivery, route, account } = state;
+    const { server } = entry;
     const startedAt = clock.now();
     const { promptKilotokens, finishPrefill } = takeSlot(state, entry);
     state.attempt = startAttempt(
       clock,
       client,
-      entry.server,
+      server,
       {
         requestId: incoming.metadata.requestId,
         method: incoming.method,
@@ -81,7 +84,9 @@
           finishPrefill();
           permits.reportFirstOutput(entry.server.id, state.id);
           state.firstByteAt ??= clock.now();
-          if (route.streamed) serverPool.recordFirstEvent(entry, promptKilotokens, elapsedMs);
+          if (!route.streamed) return;
+          serverPool.recordFirstEvent(entry, promptKilotokens, elapsedMs);
+          onStreamStart(state, server);
         },
         onEventInterval: (intervalMs) => serverPool.recordEventInterval(entry, intervalMs),
         onResult(result) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -24,6 +24,7 @@
 import { createIngress, type Ingress } from './ingress.js';
 import { createMeasuredStore } from './measured-store.js';
 import { createMembers, type Members } from './members.js';
+import { createOriginExchange, type OriginExchange } from './origin-exchange.js';
 import { createPeerMesh, type PeerMesh } from './peer-mesh.js';
 import { createPermitClient, type PermitClient } from './permit-client.js';
 import { createRelayedStore } from './relayed-store.js';
@@ -73,6 +74,7 @@
   kernel.provide('metrics', () => createMetrics(clock));
   kernel.provide('store', () => createStoreService(kernel, settings.storeAddress));
   kernel.provide('relay', () => createRelayService(kernel, settings));
+  kernel.provide('origins', () => createOriginsService(kernel, settings));
   kernel.provide('client', createClientService);
   kernel.provide('board', () => createServerPool(settings.dataCentre));
   kernel.provide('limits', () => createSharedLimits(settings.bounds.limitWindowS * 1_000));
@@ -161,6 +163,18 @@
   });
 }
 
+function createOriginsService(
+  kernel: Kernel<GatewayServices>,
+  { instance }: GatewaySettings,
+): OriginExchange {
+  return createOriginExchange({
+    self: instance,
+    clock: kernel.find('clock'),
+    listLive: () => kernel.find('mesh').listLive(),
+    send: (peer, message) => kernel.find('mesh').send(peer, message),
+  });
+}
+
 function createClientService(): BackendClient & Lifecycle {
   const client = createBackendClient();
   return { ...client, stop: client.close };
@@ -188,6 +202,7 @@
     }),
     getView: view.getView,
     areKeysFresh: view.areKeysFresh,
+    origins: kernel.find('origins'),
     countInstances: () => kernel.find('members').listOthers().length + 1,
     onNotice: (entry, notice) => kernel.find('notices').handleAnswer(entry, notice),
     recordAttempt: (server, result) =>
@@ -304,6 +319,7 @@
       kernel.find('requests').sendWaiting();
     },
     onTableMessage: (peer, message) => kernel.find('relay').receive(peer, message),
+    onOriginMessage: (peer, message) => kernel.find('origins').receive(peer, message),
     onLost: (peer) => serverPool.setPeerLoad(peer, new Map()),
     onRound: updateShare,
   });
--- a/packages/gateway/src/peer-mesh.ts
+++ b/packages/gateway/src/peer-mesh.ts
@@ -21,6 +21,7 @@
 import { parseAddress } from '@masticbend/settings/address';
 import type { Member } from './members.js';
 import { dialSocket, startServer } from './network.js';
+import { isOriginMessage, type OriginMessage } from './origin-exchange.js';
 
 /**
  * Shortest interval between reports while the state changes. It grows with each peer, so that the
@@ -88,6 +89,7 @@
   describeState: () => OwnState;
   onReport: (peer: string, report: PeerReport) => void;
   onTableMessage: (peer: string, message: TableReadMessage | TableRowsMessage) => void;
+  onOriginMessage: (peer: string, message: OriginMessage) => void;
   /** The peer is no longer live or connected; its last reports are no longer valid. */
   onLost: (peer: string) => void;
   /** Called in each round of checks and reports, with the number of live peers. */
@@ -132,6 +134,8 @@
           receiveReport(peer, message);
         } else if (isTableMessage(message) && peer) {
           options.onTableMessage(peer.instance, message);
+        } else if (isOriginMessage(message) && peer) {
+          options.onOriginMessage(peer.instance, message);
         }
       },
       onClose(reason) {
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -84,9 +84,10 @@
 
   function chooseServer(state: RequestState): Choice {
     const now = clock.now();
-    const { service, work, triedServers, pendingServers, deadlineAt } = state;
+    const { service, origin, work, triedServers, pendingServers, deadlineAt } = state;
     return serverPool.choose(now, {
       service,
+      softwareVersion: origin?.softwareVersion,
       work,
       rank: chooseRank(state, true),
       lateRank: chooseRank(state, false),
@@ -189,7 +190,7 @@
       permits.release(serverId, id);
       return;
     }
-    if (!isUsable(clock.now(), entry)) {
+    if (!isUsable(clock.now(), entry) || !isContinuable(state, entry)) {
       permits.release(serverId, id);
       if (state.pendingServers.size === 0) place(state);
       return;
@@ -281,3 +282,8 @@
     stop: () => stopExpiryTimer?.(),
   };
 }
+
+/** Returns whether a server may continue the stream of a request, or run it from the start. */
+function isContinuable({ origin }: RequestState, { server }: ServerEntry): boolean {
+  return origin === undefined || origin.softwareVersion === server.softwareVersion;
+}
--- a/packages/gateway/src/request-state.ts
+++ b/packages/gateway/src/request-state.ts
@@ -2,6 +2,7 @@
 import type { RequestMetadata } from '@masticbend/platform/ingress';
 import { chooseService } from '@masticbend/scheduling/gateway-route';
 import type { PlacedWork } from '@masticbend/scheduling/server-entry';
+import type { StreamOrigin } from '@masticbend/scheduling/stream-origins';
 import type { GatewayAccount, GatewayRoute } from '@masticbend/settings/routing';
 import type { Attempt, AttemptResult } from './attempt.js';
 import type { ExchangeRequest } from './backend-client.js';
@@ -63,6 +64,11 @@
    */
   permitRequests: number;
   minRefusedWaitMs: number | undefined;
+  /**
+   * Origin of its stream, once the caller has received the first event: only servers of the same
+   * service and software version may continue it.
+   */
+  origin?: StreamOrigin;
   /** Attempts in which the request was sent. */
   sentCount: number;
   /** Times at which it was first sent and the first byte arrived; undefined until then. */
@@ -127,6 +133,11 @@
   };
 }
 
+/** Returns whether the caller takes up a stream that another request began. */
+export function isTakenUp({ route, incoming }: RequestState): boolean {
+  return route.streamed && incoming.metadata.lastEventId !== undefined;
+}
+
 /** Describes a request that has received its final answer. */
 export function describeOutcome(
   now: number,
--- a/packages/gateway/src/request-timing.ts
+++ b/packages/gateway/src/request-timing.ts
@@ -10,8 +10,8 @@
  * Longest wait of a request whose answer will be late in any case, as a fraction of its timeout.
  */
 const LATE_WAIT_FRACTION = 0.15;
-/** Longest wait of a repeat, as a multiple of the objective. */
-const REPEAT_WAIT_FACTOR = 2;
+/** Longest wait of a continuation, as a multiple of the objective. */
+const CONTINUATION_WAIT_FACTOR = 2;
 /**
  * Time without data after which a repeatable request is sent to another server: the greatest of the
  * minimum and these multiples of the route's objective and, for streams, of its objective for the
@@ -55,11 +55,11 @@
 }
 
 /**
- * Returns the order of service. A repeat continues work that has begun, so it keeps the rank of
- * requests that are on time.
+ * Returns the order of service. What continues work that has begun keeps the rank of requests that
+ * are on time.
  */
-export function chooseRank({ tier, possibleRuns }: RequestState, onTime: boolean): number {
-  return computeRank(tier, !onTime && possibleRuns === 0);
+export function chooseRank(state: RequestState, onTime: boolean): number {
+  return computeRank(state.tier, !onTime && !isContinuation(state));
 }
 
 /**
@@ -77,11 +77,18 @@
 
 /** Returns how long a request whose answer will be late may still wait for a slot. */
 export function computeMaxLateWaitMs(now: number, state: RequestState): number {
-  const { route, incoming, deadlineAt, possibleRuns } = state;
-  if (possibleRuns > 0) return Math.min(deadlineAt - now, route.objectiveMs * REPEAT_WAIT_FACTOR);
+  const { route, incoming, deadlineAt } = state;
+  if (isContinuation(state)) {
+    return Math.min(deadlineAt - now, route.objectiveMs * CONTINUATION_WAIT_FACTOR);
+  }
   return incoming.arrivedAt + (deadlineAt - incoming.arrivedAt) * LATE_WAIT_FRACTION - now;
 }
 
+/** Returns whether the request repeats an attempt or takes up a stream. */
+function isContinuation({ possibleRuns, origin }: RequestState): boolean {
+  return possibleRuns > 0 || origin !== undefined;
+}
+
 /** Returns the time without data after which a request is repeated; 0 where it may not be. */
 export function chooseInactivityTimeoutMs({ route, sentCount }: RequestState): number {
   if (route.repeat === Repeat.Never || sentCount + 1 >= route.attempts) return 0;
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -7,6 +7,7 @@
 import type { Logger } from '@masticbend/kernel/log';
 import { ErrorKind, type Failure } from '@masticbend/protocol/error';
 import { isMisdirected } from '@masticbend/platform/ingress';
+import { isRoutedTo } from '@masticbend/scheduling/gateway-route';
 import type { RepeatBudget } from '@masticbend/scheduling/repeat-budget';
 import { createRetryAdvisor, MIN_RETRY_AFTER_MS } from '@masticbend/scheduling/retry-advisor';
 import { createRetryDetector } from '@masticbend/scheduling/retry-detector';
@@ -14,12 +15,14 @@
 import type { ServerEntry } from '@masticbend/scheduling/server-entry';
 import { countUnits, type SharedLimits } from '@masticbend/scheduling/shared-limit';
 import type { RequestQueue } from '@masticbend/scheduling/request-queue';
+import { Repeat, type BackendServer } from '@masticbend/settings/routing';
 import { checkAccess, checkAccessAgain, type KeyFreshnessCheck } from './access.js';
 import type { AttemptResult } from './attempt.js';
 import type { BackendClient } from './backend-client.js';
 import type { ConfigurationView } from './configuration-view.js';
 import type { Delivery } from './delivery.js';
 import { createDispatch } from './dispatch.js';
+import type { OriginExchange } from './origin-exchange.js';
 import type { PermitClient } from './permit-client.js';
 import { createPlacement, type Placement } from './placement.js';
 import { isFinalAnswer, isRepeatAllowed } from './repeat.js';
@@ -27,6 +30,7 @@
 import {
   createRequestState,
   describeOutcome,
+  isTakenUp,
   type IncomingRequest,
   type RequestOutcome,
   type RequestState,
@@ -61,6 +65,7 @@
   onNotice: ServerNotices['handleAnswer'];
   getView: () => ConfigurationView | undefined;
   areKeysFresh: KeyFreshnessCheck;
+  origins: Pick<OriginExchange, 'record' | 'find'>;
   /** Returns the number of instances that share the repeat budget and the slots. */
   countInstances: () => number;
   recordOutcome: (outcome: RequestOutcome) => void;
@@ -105,6 +110,7 @@
 
   const dispatch = createDispatch({
     ...options,
+    onStreamStart: recordOrigin,
     onResult(state, entry, result) {
       options.recordAttempt(entry.server.id, result.kind);
       handleResult(state, entry, result);
@@ -137,10 +143,39 @@
       refuse(state, limitFailure);
       return;
     }
+    if (isTakenUp(state)) findOrigin(state);
+    else placeAdmitted(state);
+  }
+
+  function placeAdmitted(state: RequestState): void {
     repeatBudget.recordRequest(clock.now(), state.service);
     placement.place(state);
   }
 
+  /** Places a request that takes up a stream with the origin of that stream, or refuses it. */
+  function findOrigin(state: RequestState): void {
+    options.origins.find(state.incoming.metadata.resumes ?? '', (origin) => {
+      if (!openRequests.has(state.id)) return;
+      if (origin && isRoutedTo(state.route, origin.service)) {
+        state.origin = origin;
+        state.service = origin.service;
+        placeAdmitted(state);
+        return;
+      }
+      state.lastFailureReason = origin ? 'stream of another service' : 'stream of unknown origin';
+      refuse(state, { kind: ErrorKind.NoBackendServer, retryAfterMs: drawRetryMs(state, 0) });
+    });
+  }
+
+  /** Records the origin of a stream that another attempt may continue. */
+  function recordOrigin(state: RequestState, { softwareVersion }: BackendServer): void {
+    const { route, service, incoming } = state;
+    if (route.repeat !== Repeat.Resume) return;
+    state.origin ??= { service, softwareVersion };
+    const { resumes, requestId } = incoming.metadata;
+    options.origins.record(resumes ?? requestId, state.origin);
+  }
+
   function startDeadlineTimer(state: RequestState): void {
     const remainingMs = state.deadlineAt - clock.now() + DEADLINE_MARGIN_MS;
     state.stopDeadlineTimer = clock.startTimer(remainingMs, () => handleDeadline(state));
--- a/packages/gateway/src/services.ts
+++ b/packages/gateway/src/services.ts
@@ -9,6 +9,7 @@
 import type { ConfigurationView } from './configuration-view.js';
 import type { Ingress } from './ingress.js';
 import type { Members } from './members.js';
+import type { OriginExchange } from './origin-exchange.js';
 import type { PeerMesh } from './peer-mesh.js';
 import type { PermitClient } from './permit-client.js';
 import type { Requests } from './requests.js';
@@ -34,6 +35,7 @@
   permits: PermitClient & Lifecycle;
   mesh: PeerMesh & Lifecycle;
   relay: TableRelay & Lifecycle;
+  origins: OriginExchange & Lifecycle;
   administration: Lifecycle;
 }
 
--- a/packages/gateway/test/placement.test.ts
+++ b/packages/gateway/test/placement.test.ts
@@ -7,7 +7,12 @@
 import type { Failure } from '@masticbend/protocol/error';
 import { createServerPool } from '@masticbend/scheduling/server-pool';
 import { createRequestQueue } from '@masticbend/scheduling/request-queue';
-import { Repeat, ServerState, type GatewayRoute } from '@masticbend/settings/routing';
+import {
+  Repeat,
+  ServerState,
+  type BackendServer,
+  type GatewayRoute,
+} from '@masticbend/settings/routing';
 import type { PermitClient } from '../src/permit-client.js';
 import { createPlacement } from '../src/placement.js';
 import type { RequestState } from '../src/request-state.js';
@@ -35,25 +40,28 @@
 
 type PermitRequest = Parameters<PermitClient['requestPermit']>[1];
 
+/** Servers of two software versions, alternating. */
+function listServers(softwareVersions: readonly string[] = ['v1', 'v2']): BackendServer[] {
+  return Array.from({ length: ENGINES }, (_, index) => ({
+    id: `i-${index}`,
+    bornAt: 1,
+    service: 'engine',
+    address: `10.0.0.${index}:80`,
+    dataCentre: 'near',
+    slots: SLOTS,
+    state: ServerState.Ready,
+    softwareVersion: softwareVersions[index % softwareVersions.length]!,
+    coldMs: 0,
+  }));
+}
+
 function createFixture(waitsMs: readonly number[]) {
   const clock = createVirtualClock();
   const serverPool = createServerPool('near');
   const permitRequests = new Map<string, PermitRequest>();
   const sent: string[] = [];
   const refused: Failure[] = [];
-  serverPool.setServers(
-    Array.from({ length: ENGINES }, (_, index) => ({
-      id: `i-${index}`,
-      bornAt: 1,
-      service: 'engine',
-      address: `10.0.0.${index}:80`,
-      dataCentre: 'near',
-      slots: SLOTS,
-      state: ServerState.Ready,
-      softwareVersion: 'v1',
-      coldMs: 0,
-    })),
-  );
+  serverPool.setServers(listServers());
   const states = new Map<string, RequestState>();
   const placement = createPlacement({
     clock,
@@ -72,6 +80,7 @@
   });
   return {
     placement,
+    serverPool,
     permitRequests,
     sent,
     refused,
@@ -145,6 +154,43 @@
     expect(repeat!.rank).to.equal(first!.rank);
   });
 
+  it('requests permits for a stream that goes on only from servers of its version', () => {
+    const { permitRequests, place } = createFixture([100]);
+    place({ origin: { service: 'engine', softwareVersion: 'v2' } });
+    expect([...permitRequests.keys()].sort()).to.deep.equal(['i-1', 'i-3', 'i-5', 'i-7']);
+  });
+
+  // A server that restarts under its id may run another version than when the permit was requested.
+  it('does not use the permit of a server that has another version now', () => {
+    const { placement, serverPool, permitRequests, sent, place } = createFixture([100]);
+    place({ origin: { service: 'engine', softwareVersion: 'v2' } });
+    serverPool.setServers(listServers(['v2', 'v1']));
+    for (const server of [...permitRequests.keys()]) {
+      permitRequests.delete(server);
+      placement.agentEvents.onPermit(server, 'a');
+    }
+    expect(sent).to.deep.equal([]);
+    expect([...permitRequests.keys()].sort()).to.deep.equal(['i-0', 'i-2', 'i-4', 'i-6']);
+  });
+
+  it('does not rank a caller that takes up its stream lower', () => {
+    const { permitRequests, place } = createFixture([100]);
+    place();
+    const [first] = permitRequests.values();
+    permitRequests.clear();
+    const origin = { service: 'engine', softwareVersion: 'v2' };
+    place({ id: 'b', isCallerRetry: true, origin });
+    const [takenUp] = permitRequests.values();
+    expect(takenUp!.rank).to.equal(first!.rank);
+  });
+
+  it('refuses a stream that goes on while no server of its version is left', () => {
+    const { permitRequests, refused, place } = createFixture([100]);
+    place({ origin: { service: 'engine', softwareVersion: 'v3' } });
+    expect(permitRequests.size).to.equal(0);
+    expect(refused.map(({ kind }) => kind)).to.deep.equal(['no-backend-server']);
+  });
+
   it('refuses at once, with the expected wait, when the wait at every agent is too long', () => {
     const { permitRequests, refused, place } = createFixture([MAX_WAIT_MS * 2]);
     place();
--- a/packages/gateway/test/sharing.test.ts
+++ b/packages/gateway/test/sharing.test.ts
@@ -66,6 +66,7 @@
           entry.received += report.usage.get('bakery')?.admitted ?? 0;
         },
         onTableMessage: () => undefined,
+        onOriginMessage: () => undefined,
         onLost: () => undefined,
         onRound(livePeers) {
           entry.livePeers = livePeers;
--- a/packages/protocol/src/gateway-message.ts
+++ b/packages/protocol/src/gateway-message.ts
@@ -63,6 +63,32 @@
   deleted: boolean[];
 }
 
+/**
+ * Entry → entry: streams whose first events came from a service's backend servers of one software
+ * version, by the ids of their requests.
+ */
+export interface StreamOriginsMessage {
+  kind: 'stream-origins';
+  service: string;
+  softwareVersion: string;
+  streams: string[];
+}
+
+/** Entry → entry: asks for the origin of a stream. */
+export interface StreamOriginReadMessage {
+  kind: 'stream-origin-read';
+  stream: string;
+}
+
+/** Entry → entry: the answer to `stream-origin-read`; the origin is empty where it is not known. */
+export interface StreamOriginMessage {
+  kind: 'stream-origin';
+  stream: string;
+  isKnown: boolean;
+  service: string;
+  softwareVersion: string;
+}
+
 /** Entry → agent, first message: the backend server that the entry needs permits for. */
 export interface PermitHelloMessage {
   kind: 'permit-hello';
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -14,6 +14,9 @@
   PermitReleaseMessage,
   PermitReportMessage,
   PermitStartedMessage,
+  StreamOriginMessage,
+  StreamOriginReadMessage,
+  StreamOriginsMessage,
   TableReadMessage,
   TableRowsMessage,
   PermitRequestMessage,
@@ -71,6 +74,9 @@
   PeerReport: 'peer-report',
   TableRead: 'table-read',
   TableRows: 'table-rows',
+  StreamOrigins: 'stream-origins',
+  StreamOriginRead: 'stream-origin-read',
+  StreamOrigin: 'stream-origin',
   PermitHello: 'permit-hello',
   PermitRequest: 'permit-request',
   Permit: 'permit',
@@ -429,6 +435,9 @@
   | PermitReleaseMessage
   | PermitReportMessage
   | PermitStartedMessage
+  | StreamOriginMessage
+  | StreamOriginReadMessage
+  | StreamOriginsMessage
   | TableReadMessage
   | TableRowsMessage;
 
--- a/packages/protocol/src/shape.ts
+++ b/packages/protocol/src/shape.ts
@@ -186,6 +186,18 @@
     revisions: createListCheck(isNonNegativeInteger),
     deleted: createListCheck(isBoolean),
   },
+  'stream-origins': {
+    service: isText,
+    softwareVersion: isText,
+    streams: createListCheck(isText),
+  },
+  'stream-origin-read': { stream: isText },
+  'stream-origin': {
+    stream: isText,
+    isKnown: isBoolean,
+    service: isText,
+    softwareVersion: isText,
+  },
   'permit-hello': {
     instance: isText,
     server: isText,
--- a/packages/scheduling/src/gateway-route.ts
+++ b/packages/scheduling/src/gateway-route.ts
@@ -42,3 +42,8 @@
   }
   return route.targets.at(-1)!.service;
 }
+
+/** Returns whether a route sends requests to a service. */
+export function isRoutedTo(route: GatewayRoute, service: string): boolean {
+  return route.targets.some((target) => target.service === service);
+}
--- a/packages/scheduling/src/server-pool.ts
+++ b/packages/scheduling/src/server-pool.ts
@@ -100,9 +100,9 @@
   }
 
   /** Describes why no server of a service can be chosen at all. */
-  function describeShortage(now: number, { service, excluded }: PlacementQuery): Choice {
+  function describeShortage(now: number, query: PlacementQuery): Choice {
     const pauseEnds = [...entries.values()]
-      .filter(({ server }) => server.service === service && !excluded.has(server.id))
+      .filter(({ server }) => isEligible(server, query))
       .map((entry) => findPauseEnd(now, entry))
       .filter((end) => end !== undefined);
     if (pauseEnds.length === 0) return { kind: 'none' };
@@ -138,13 +138,13 @@
       entries = next;
     },
     choose(now, query) {
-      const { service, excluded, findLoad = findNoLoad } = query;
+      const { findLoad = findNoLoad } = query;
       let best: Candidate | undefined;
       let usable = 0;
       let minWaitMs: number | undefined;
       for (const entry of entries.values()) {
         const { server } = entry;
-        if (server.service === service && isUsable(now, entry) && !excluded.has(server.id)) {
+        if (isEligible(server, query) && isUsable(now, entry)) {
           usable += 1;
           const load = findLoad(server.id);
           if (load) {
@@ -231,6 +231,16 @@
   };
 }
 
+/** Returns whether a server may run a request at all. */
+function isEligible(
+  { id, service, softwareVersion }: BackendServer,
+  query: PlacementQuery,
+): boolean {
+  const isVersionFit =
+    query.softwareVersion === undefined || query.softwareVersion === softwareVersion;
+  return service === query.service && isVersionFit && !query.excluded.has(id);
+}
+
 function findNoLoad(): undefined {
   return undefined;
 }
