Streams of unknown origin go on where a service has had one software version only

Without a record of the attempt that began a stream, an entry refused it.

Each entry now keeps the versions of each service that were listed within 30 s, longer than any stream is open. Where that is one version, a stream without a record goes on there, provided that the holders of records have answered, the list of servers is as recent as keys must be, and the route has one service. Entries write their versions into their membership rows, which they renew anyway, and read those of all rows before they first write their own: an entry that starts after a release, or after the loss of all entries, knows what was served before. Costs one more read at each start.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,6 +16,7 @@
 import { createRepeatBudget } from '@masticbend/scheduling/repeat-budget';
 import { listNotices } from '@masticbend/scheduling/server-notice';
 import { createServerPool } from '@masticbend/scheduling/server-pool';
+import { createVersionHistory } from '@masticbend/scheduling/version-history';
 import { createSharedLimits } from '@masticbend/scheduling/shared-limit';
 import { createRequestQueue } from '@masticbend/scheduling/request-queue';
 import { parseAddress } from '@masticbend/settings/address';
@@ -74,6 +75,7 @@
   kernel.provide('metrics', () => createMetrics(clock));
   kernel.provide('store', () => createStoreService(kernel, settings.storeAddress));
   kernel.provide('relay', () => createRelayService(kernel, settings));
+  kernel.provide('versions', createVersionHistory);
   kernel.provide('origins', () => createOriginsService(kernel, settings));
   kernel.provide('client', createClientService);
   kernel.provide('board', () => createServerPool(settings.dataCentre));
@@ -81,7 +83,7 @@
   kernel.provide('view', () => createViewService(kernel, settings, getElapsed));
   kernel.provide('servers', () => createServersService(kernel, settings, getElapsed));
   kernel.provide('notices', () => createNoticesService(kernel));
-  kernel.provide('requests', () => createRequestsService(kernel, settings));
+  kernel.provide('requests', () => createRequestsService(kernel, settings, getElapsed));
   kernel.provide('permits', () => createPermitsService(kernel, settings));
   kernel.provide('members', () => createMembersService(kernel, settings, incarnation, getElapsed));
   kernel.provide('mesh', () => createMeshService(kernel, settings, incarnation));
@@ -183,9 +185,18 @@
 function createRequestsService(
   kernel: Kernel<GatewayServices>,
   { bounds }: GatewaySettings,
+  getElapsed: () => number,
 ): Requests {
   const metrics = kernel.find('metrics');
   const view = kernel.find('view');
+
+  /** The list must be recent: other entries may use a version that this one has not read of. */
+  function findOnlyVersion(service: string): string | undefined {
+    const ageMs = kernel.find('servers').getAgeMs() ?? Infinity;
+    if (ageMs > bounds.keyFreshnessMs) return undefined;
+    return kernel.find('versions').findOnly(getElapsed(), service);
+  }
+
   return createRequests({
     clock: kernel.find('clock'),
     log: kernel.find('log'),
@@ -203,6 +214,7 @@
     getView: view.getView,
     areKeysFresh: view.areKeysFresh,
     origins: kernel.find('origins'),
+    findOnlyVersion,
     countInstances: () => kernel.find('members').listOthers().length + 1,
     onNotice: (entry, notice) => kernel.find('notices').handleAnswer(entry, notice),
     recordAttempt: (server, result) =>
@@ -262,6 +274,8 @@
     log: kernel.find('log'),
     drawRandom: Math.random,
     listLive: () => kernel.find('mesh').listLive(),
+    listVersions: () => kernel.find('versions').listRecent(getElapsed()),
+    onVersions: (versions) => kernel.find('versions').addEarlier(getElapsed(), versions),
     onChange: () => kernel.find('mesh').setMembers(members.listOthers()),
   });
   return members;
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -7,6 +7,7 @@
 import { startPause, type Clock } from '@masticbend/kernel/clock';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import { parseJson, readFields, readText } from '@masticbend/platform/decode';
+import type { ServiceVersions } from '@masticbend/scheduling/version-history';
 import { isAddress } from '@masticbend/settings/address';
 import type { EraStore } from './store-era.js';
 
@@ -62,6 +63,10 @@
   drawRandom: () => number;
   /** Names of the entries that are connected and report. */
   listLive: () => string[];
+  /** Software versions that count for this entry; kept in its row for entries that start later. */
+  listVersions: () => ServiceVersions;
+  /** Called with the versions in the row of each entry, before this entry first writes its own. */
+  onVersions: (versions: ServiceVersions) => void;
   onChange: () => void;
 }
 
@@ -74,6 +79,7 @@
 export function createMembers(options: MembersOptions): Members {
   const { store, self, incarnation, clock, getElapsed, log, drawRandom, listLive, onChange } =
     options;
+  const { listVersions, onVersions } = options;
   const knownMembers = new Map<string, KnownMember>();
   let renewedAt: number | undefined;
   let readAt = -Infinity;
@@ -88,13 +94,23 @@
 
   async function refreshLease(): Promise<boolean> {
     const sentAt = getElapsed();
-    const value = Buffer.from(JSON.stringify({ address: self.address, incarnation }));
+    const row = { address: self.address, incarnation, software: listVersions() };
+    const value = Buffer.from(JSON.stringify(row));
     const result = await store.writeRow(MEMBERS_TABLE, self.instance, value);
     if (result.kind !== 'committed') return false;
     renewedAt = sentAt;
     return true;
   }
 
+  /** Reads what earlier processes knew; the first renewal replaces this instance's part of it. */
+  async function readEarlierVersions(): Promise<boolean> {
+    const result = await store.readRows(MEMBERS_TABLE);
+    if (result.kind !== 'rows') return false;
+    onVersions({});
+    for (const { value } of result.rows.rows) onVersions(readVersions(value));
+    return true;
+  }
+
   async function refreshMembers(): Promise<boolean> {
     const result = await store.readRows(MEMBERS_TABLE);
     if (result.kind !== 'rows') return false;
@@ -136,6 +152,9 @@
   }
 
   async function run(): Promise<void> {
+    while (!stopped && !(await readEarlierVersions())) {
+      await startPause(clock, RETRY_DELAY_MS).ended;
+    }
     while (!stopped) {
       const renewed = await refreshLease();
       const refreshed = !isReadDue() || (await refreshMembers());
@@ -195,3 +214,14 @@
   const address = readText(readFields(parseJson(value))?.address);
   return address !== undefined && isAddress(address) ? address : undefined;
 }
+
+function readVersions(value: Buffer): ServiceVersions {
+  const software = readFields(readFields(parseJson(value))?.software) ?? {};
+  const services = Object.entries(software).filter(([, names]) => Array.isArray(names));
+  return Object.fromEntries(
+    services.map(([service, names]) => [
+      service,
+      (names as unknown[]).filter((name) => typeof name === 'string'),
+    ]),
+  );
+}
--- a/packages/gateway/src/origin-exchange.ts
+++ b/packages/gateway/src/origin-exchange.ts
@@ -23,12 +23,20 @@
 /** Messages about origins. */
 export type OriginMessage = StreamOriginsMessage | StreamOriginReadMessage | StreamOriginMessage;
 
+/** Result of a lookup. */
+export type OriginLookup =
+  | { kind: 'known'; origin: StreamOrigin }
+  /** No entry that should hold it knows the origin. */
+  | { kind: 'unknown' }
+  /** Some of these entries did not answer. */
+  | { kind: 'unanswered' };
+
 /** Origins of streams that this entry and its peers know. */
 export interface OriginExchange {
   /** Records the origin of a stream that this entry relays. */
   record: (stream: string, origin: StreamOrigin) => void;
-  /** Calls `onFound` once, with undefined when no entry that was asked knows the origin. */
-  find: (stream: string, onFound: (origin: StreamOrigin | undefined) => void) => void;
+  /** Calls `onFound` once, at once if no other entry has to be asked. */
+  find: (stream: string, onFound: (result: OriginLookup) => void) => void;
   receive: (peer: string, message: OriginMessage) => void;
   stop: () => void;
   dump: () => unknown;
@@ -47,7 +55,7 @@
   /** Holders that have not answered. */
   pending: Set<string>;
   stopTimer: () => void;
-  callbacks: ((origin: StreamOrigin | undefined) => void)[];
+  callbacks: ((result: OriginLookup) => void)[];
 }
 
 /** Returns an exchange without origins. */
@@ -82,12 +90,12 @@
     for (const { holder, message } of messages.values()) send(holder, message);
   }
 
-  function finishLookup(stream: string, origin: StreamOrigin | undefined): void {
+  function finishLookup(stream: string, result: OriginLookup): void {
     const lookup = lookups.get(stream);
     if (!lookup) return;
     lookups.delete(stream);
     lookup.stopTimer();
-    for (const onFound of lookup.callbacks) onFound(origin);
+    for (const onFound of lookup.callbacks) onFound(result);
   }
 
   function answerRead(peer: string, stream: string): void {
@@ -101,12 +109,12 @@
     const { stream, isKnown, service, softwareVersion } = message;
     if (isKnown) {
       origins.set(clock.now(), stream, { service, softwareVersion });
-      finishLookup(stream, { service, softwareVersion });
+      finishLookup(stream, { kind: 'known', origin: { service, softwareVersion } });
       return;
     }
     const pending = lookups.get(stream)?.pending;
     pending?.delete(peer);
-    if (pending?.size === 0) finishLookup(stream, undefined);
+    if (pending?.size === 0) finishLookup(stream, { kind: 'unknown' });
   }
 
   return {
@@ -119,7 +127,7 @@
       const origin = origins.find(clock.now(), stream);
       const holders = origin ? [] : listHolders(stream);
       if (holders.length === 0) {
-        onFound(origin);
+        onFound(origin ? { kind: 'known', origin } : { kind: 'unknown' });
         return;
       }
       const lookup = lookups.get(stream);
@@ -127,7 +135,9 @@
         lookup.callbacks.push(onFound);
         return;
       }
-      const stopTimer = clock.startTimer(LOOKUP_TIMEOUT_MS, () => finishLookup(stream, undefined));
+      const stopTimer = clock.startTimer(LOOKUP_TIMEOUT_MS, () =>
+        finishLookup(stream, { kind: 'unanswered' }),
+      );
       lookups.set(stream, { pending: new Set(holders), stopTimer, callbacks: [onFound] });
       for (const holder of holders) send(holder, { kind: 'stream-origin-read', stream });
     },
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -15,6 +15,7 @@
 import type { ServerEntry } from '@masticbend/scheduling/server-entry';
 import { countUnits, type SharedLimits } from '@masticbend/scheduling/shared-limit';
 import type { RequestQueue } from '@masticbend/scheduling/request-queue';
+import type { StreamOrigin } from '@masticbend/scheduling/stream-origins';
 import { Repeat, type BackendServer } from '@masticbend/settings/routing';
 import { checkAccess, checkAccessAgain, type KeyFreshnessCheck } from './access.js';
 import type { AttemptResult } from './attempt.js';
@@ -66,6 +67,8 @@
   getView: () => ConfigurationView | undefined;
   areKeysFresh: KeyFreshnessCheck;
   origins: Pick<OriginExchange, 'record' | 'find'>;
+  /** Returns the only software version of a service that an open stream can have, if it is one. */
+  findOnlyVersion: (service: string) => string | undefined;
   /** Returns the number of instances that share the repeat budget and the slots. */
   countInstances: () => number;
   recordOutcome: (outcome: RequestOutcome) => void;
@@ -154,19 +157,36 @@
 
   /** Places a request that takes up a stream with the origin of that stream, or refuses it. */
   function findOrigin(state: RequestState): void {
-    options.origins.find(state.incoming.metadata.resumes ?? '', (origin) => {
+    const { resumes } = state.incoming.metadata;
+    if (resumes === undefined) {
+      placeTakenUp(state, findOnlyOrigin(state));
+      return;
+    }
+    options.origins.find(resumes, (result) => {
       if (!openRequests.has(state.id)) return;
-      if (origin && isRoutedTo(state.route, origin.service)) {
-        state.origin = origin;
-        state.service = origin.service;
-        placeAdmitted(state);
-        return;
-      }
-      state.lastFailureReason = origin ? 'stream of another service' : 'stream of unknown origin';
-      refuse(state, { kind: ErrorKind.NoBackendServer, retryAfterMs: drawRetryMs(state, 0) });
+      if (result.kind === 'known') placeTakenUp(state, result.origin);
+      else placeTakenUp(state, result.kind === 'unknown' ? findOnlyOrigin(state) : undefined);
     });
   }
 
+  /** Returns the origin of a stream without a record, where it can be one only. */
+  function findOnlyOrigin({ route, service }: RequestState): StreamOrigin | undefined {
+    const softwareVersion = options.findOnlyVersion(service);
+    if (route.targets.length > 1 || softwareVersion === undefined) return undefined;
+    return { service, softwareVersion };
+  }
+
+  function placeTakenUp(state: RequestState, origin: StreamOrigin | undefined): void {
+    if (origin && isRoutedTo(state.route, origin.service)) {
+      state.origin = origin;
+      state.service = origin.service;
+      placeAdmitted(state);
+      return;
+    }
+    state.lastFailureReason = origin ? 'stream of another service' : 'stream of unknown origin';
+    refuse(state, { kind: ErrorKind.NoBackendServer, retryAfterMs: drawRetryMs(state, 0) });
+  }
+
   /** Records the origin of a stream that another attempt may continue. */
   function recordOrigin(state: RequestState, { softwareVersion }: BackendServer): void {
     const { route, service, incoming } = state;
--- a/packages/gateway/src/servers-service.ts
+++ b/packages/gateway/src/servers-service.ts
@@ -35,6 +35,7 @@
   const clock = kernel.find('clock');
   const serverPool = kernel.find('board');
   const client = kernel.find('client');
+  const versions = kernel.find('versions');
   const serverList = createServerList();
   let stopExpiryTimer = () => {};
   let getRevision = () => 0;
@@ -54,6 +55,7 @@
     }
     const servers = serverList.list();
     serverPool.setServers(servers);
+    versions.setListed(getElapsed(), servers);
     client.retainServers(servers);
     updateAgents(kernel);
     scheduleExpiry();
--- a/packages/gateway/src/services.ts
+++ b/packages/gateway/src/services.ts
@@ -5,6 +5,7 @@
 import type { Metrics } from '@masticbend/kernel/metrics';
 import type { ServerPool } from '@masticbend/scheduling/server-pool';
 import type { SharedLimits } from '@masticbend/scheduling/shared-limit';
+import type { VersionHistory } from '@masticbend/scheduling/version-history';
 import type { BackendClient } from './backend-client.js';
 import type { ConfigurationView } from './configuration-view.js';
 import type { Ingress } from './ingress.js';
@@ -36,6 +37,7 @@
   mesh: PeerMesh & Lifecycle;
   relay: TableRelay & Lifecycle;
   origins: OriginExchange & Lifecycle;
+  versions: VersionHistory & Lifecycle;
   administration: Lifecycle;
 }
 
--- a/packages/gateway/test/sharing.test.ts
+++ b/packages/gateway/test/sharing.test.ts
@@ -54,6 +54,8 @@
         log,
         drawRandom: () => 0,
         listLive: () => entry.mesh.listLive(),
+        listVersions: () => ({}),
+        onVersions: () => undefined,
         onChange: () => entry.mesh.setMembers(entry.members.listOthers()),
       }),
       mesh: createPeerMesh({
--- a/packages/gateway/test/software-versions.test.ts
+++ b/packages/gateway/test/software-versions.test.ts
@@ -162,6 +162,27 @@
     expect(listServers('t1')).to.deep.equal([]);
   });
 
+  it('are not needed where a service has had one only', async () => {
+    await start(['v1', 'v1'], sendWhole);
+    const headers = { 'last-event-id': String(BREAK_AFTER) };
+    const unnamed = await callStream('t1', { headers });
+    const named = await takeUp('t2', 'unknown');
+    const body = formatEvents(BREAK_AFTER + 1, EVENTS);
+    expect(unnamed).to.include({ status: 200, body });
+    expect(named).to.include({ status: 200, body });
+  });
+
+  // An entry that starts after a release lists the new version only.
+  it('of before are known to an entry that starts after a release', async () => {
+    await start(['v1', 'v2'], sendWhole);
+    await waitUntil(isVersionStored);
+    deployment.store.remove('servers', 'i-0');
+    const address = await startEntry();
+    const reply = await takeUp('t1', 'unknown', { address });
+    expect(reply.status).to.equal(503);
+    expect(listServers('t1')).to.deep.equal([]);
+  });
+
   it('without a server left make an entry refuse a stream as not run', async () => {
     await start(['v1', 'v2'], sendWhole);
     const server = await startStream('s1');
@@ -171,6 +192,14 @@
     expect(listServers('t1')).to.deep.equal([]);
   });
 
+  /** Returns whether an entry has written in its row that it knows v1. */
+  function isVersionStored(): boolean {
+    const rows = [...deployment.store.copy().rows.values()];
+    return rows.some(
+      ({ table, value }) => table === 'entries' && Buffer.from(value, 'base64').includes('"v1"'),
+    );
+  }
+
   async function waitUntilConnected(): Promise<void> {
     const isConnected = (entry: Gateway) => JSON.stringify(entry.dump()).includes('"heard":true');
     await waitUntil(() => [deployment.gateway, ...entries].every(isConnected));
