Taken-up streams in a module of their own

A move: the lookup and the record of origins; requests.ts places or refuses by their result. A lookup without an answer has its own reason in the log now.

--- a/packages/gateway/src/request-state.ts
+++ b/packages/gateway/src/request-state.ts
@@ -133,11 +133,6 @@
   };
 }
 
-/** Returns whether the caller takes up a stream that another request began. */
-export function isTakenUp({ route, incoming }: RequestState): boolean {
-  return route.streamed && incoming.metadata.lastEventId !== undefined;
-}
-
 /** Describes a request that has received its final answer. */
 export function describeOutcome(
   now: number,
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -7,7 +7,6 @@
 import type { Logger } from '@masticbend/kernel/log';
 import { ErrorKind, type Failure } from '@masticbend/protocol/error';
 import { isMisdirected } from '@masticbend/platform/ingress';
-import { isRoutedTo } from '@masticbend/scheduling/gateway-route';
 import type { RepeatBudget } from '@masticbend/scheduling/repeat-budget';
 import { createRetryAdvisor, MIN_RETRY_AFTER_MS } from '@masticbend/scheduling/retry-advisor';
 import { createRetryDetector } from '@masticbend/scheduling/retry-detector';
@@ -15,15 +14,12 @@
 import type { ServerEntry } from '@masticbend/scheduling/server-entry';
 import { countUnits, type SharedLimits } from '@masticbend/scheduling/shared-limit';
 import type { RequestQueue } from '@masticbend/scheduling/request-queue';
-import type { StreamOrigin } from '@masticbend/scheduling/stream-origins';
-import { Repeat, type BackendServer } from '@masticbend/settings/routing';
 import { checkAccess, checkAccessAgain, type KeyFreshnessCheck } from './access.js';
 import type { AttemptResult } from './attempt.js';
 import type { BackendClient } from './backend-client.js';
 import type { ConfigurationView } from './configuration-view.js';
 import type { Delivery } from './delivery.js';
 import { createDispatch } from './dispatch.js';
-import type { OriginExchange } from './origin-exchange.js';
 import type { PermitClient } from './permit-client.js';
 import { createPlacement, type Placement } from './placement.js';
 import { isFinalAnswer, isRepeatAllowed } from './repeat.js';
@@ -31,12 +27,12 @@
 import {
   createRequestState,
   describeOutcome,
-  isTakenUp,
   type IncomingRequest,
   type RequestOutcome,
   type RequestState,
 } from './request-state.js';
 import type { ServerNotices } from './server-notices.js';
+import { createTakenUpStreams, isTakenUp, type TakenUpStreamsOptions } from './taken-up-streams.js';
 
 /** Margin after the deadline in which a backend server's own answer is still delivered. */
 const DEADLINE_MARGIN_MS = 40;
@@ -49,7 +45,7 @@
 const MISDIRECTED_PAUSE_MS = 8_000;
 
 /** Dependencies of the request handling. */
-export interface RequestsOptions {
+export interface RequestsOptions extends TakenUpStreamsOptions {
   clock: Clock;
   log: Logger;
   drawRandom: () => number;
@@ -66,9 +62,6 @@
   onNotice: ServerNotices['handleAnswer'];
   getView: () => ConfigurationView | undefined;
   areKeysFresh: KeyFreshnessCheck;
-  origins: Pick<OriginExchange, 'record' | 'find'>;
-  /** Returns the only software version of a service that an open stream can have, if it is one. */
-  findOnlyVersion: (service: string) => string | undefined;
   /** Returns the number of instances that share the repeat budget and the slots. */
   countInstances: () => number;
   recordOutcome: (outcome: RequestOutcome) => void;
@@ -111,9 +104,10 @@
     refuse: finishWithoutFurtherAttempt,
   });
 
+  const takenUpStreams = createTakenUpStreams(options);
   const dispatch = createDispatch({
     ...options,
-    onStreamStart: recordOrigin,
+    onStreamStart: takenUpStreams.recordStart,
     onResult(state, entry, result) {
       options.recordAttempt(entry.server.id, result.kind);
       handleResult(state, entry, result);
@@ -146,7 +140,7 @@
       refuse(state, limitFailure);
       return;
     }
-    if (isTakenUp(state)) findOrigin(state);
+    if (isTakenUp(state)) placeTakenUp(state);
     else placeAdmitted(state);
   }
 
@@ -155,47 +149,21 @@
     placement.place(state);
   }
 
-  /** Places a request that takes up a stream with the origin of that stream, or refuses it. */
-  function findOrigin(state: RequestState): void {
-    const { resumes } = state.incoming.metadata;
-    if (resumes === undefined) {
-      placeTakenUp(state, findOnlyOrigin(state));
-      return;
-    }
-    options.origins.find(resumes, (result) => {
+  /** Places a request among the servers that may continue its stream, or refuses it. */
+  function placeTakenUp(state: RequestState): void {
+    takenUpStreams.find(state, (stream) => {
       if (!openRequests.has(state.id)) return;
-      if (result.kind === 'known') placeTakenUp(state, result.origin);
-      else placeTakenUp(state, result.kind === 'unknown' ? findOnlyOrigin(state) : undefined);
+      if (stream.kind === 'origin') {
+        state.origin = stream.origin;
+        state.service = stream.origin.service;
+        placeAdmitted(state);
+        return;
+      }
+      state.lastFailureReason = stream.reason;
+      refuse(state, { kind: ErrorKind.NoBackendServer, retryAfterMs: drawRetryMs(state, 0) });
     });
   }
 
-  /** Returns the origin of a stream without a record, where it can be one only. */
-  function findOnlyOrigin({ route, service }: RequestState): StreamOrigin | undefined {
-    const softwareVersion = options.findOnlyVersion(service);
-    if (route.targets.length > 1 || softwareVersion === undefined) return undefined;
-    return { service, softwareVersion };
-  }
-
-  function placeTakenUp(state: RequestState, origin: StreamOrigin | undefined): void {
-    if (origin && isRoutedTo(state.route, origin.service)) {
-      state.origin = origin;
-      state.service = origin.service;
-      placeAdmitted(state);
-      return;
-    }
-    state.lastFailureReason = origin ? 'stream of another service' : 'stream of unknown origin';
-    refuse(state, { kind: ErrorKind.NoBackendServer, retryAfterMs: drawRetryMs(state, 0) });
-  }
-
-  /** Records the origin of a stream that another attempt may continue. */
-  function recordOrigin(state: RequestState, { softwareVersion }: BackendServer): void {
-    const { route, service, incoming } = state;
-    if (route.repeat !== Repeat.Resume) return;
-    state.origin ??= { service, softwareVersion };
-    const { resumes, requestId } = incoming.metadata;
-    options.origins.record(resumes ?? requestId, state.origin);
-  }
-
   function startDeadlineTimer(state: RequestState): void {
     const remainingMs = state.deadlineAt - clock.now() + DEADLINE_MARGIN_MS;
     state.stopDeadlineTimer = clock.startTimer(remainingMs, () => handleDeadline(state));
--- /dev/null
+++ b/packages/gateway/src/taken-up-streams.ts
@@ -0,0 +1,77 @@
+/**
+ * Origins of the streams that this entry relays: recorded with the first event, and found again for
+ * a request that takes up a stream.
+ */
+import { isRoutedTo } from '@masticbend/scheduling/gateway-route';
+import type { StreamOrigin } from '@masticbend/scheduling/stream-origins';
+import { Repeat, type BackendServer } from '@masticbend/settings/routing';
+import type { OriginExchange } from './origin-exchange.js';
+import type { RequestState } from './request-state.js';
+
+/** Result for a request that takes up a stream. */
+export type TakenUpStream =
+  | { kind: 'origin'; origin: StreamOrigin }
+  /** The stream cannot go on here. */
+  | { kind: 'none'; reason: string };
+
+/** Origins of streams, as the request handling uses them. */
+export interface TakenUpStreams {
+  /** Records the origin of a stream that another attempt or request may continue. */
+  recordStart: (state: RequestState, server: BackendServer) => void;
+  /** Calls `onFound` once with the origin of the stream that a request takes up. */
+  find: (state: RequestState, onFound: (stream: TakenUpStream) => void) => void;
+}
+
+/** Dependencies. */
+export interface TakenUpStreamsOptions {
+  origins: Pick<OriginExchange, 'record' | 'find'>;
+  /** Returns the only software version of a service that an open stream can have, if it is one. */
+  findOnlyVersion: (service: string) => string | undefined;
+}
+
+/** Returns whether the caller takes up a stream that another request began. */
+export function isTakenUp({ route, incoming }: RequestState): boolean {
+  return route.streamed && incoming.metadata.lastEventId !== undefined;
+}
+
+/** Returns the origins of one entry's streams. */
+export function createTakenUpStreams(options: TakenUpStreamsOptions): TakenUpStreams {
+  const { origins, findOnlyVersion } = options;
+
+  /** Returns the origin of a stream without a record, where it can be one only. */
+  function findOnlyOrigin({ route, service }: RequestState): StreamOrigin | undefined {
+    const softwareVersion = findOnlyVersion(service);
+    if (route.targets.length > 1 || softwareVersion === undefined) return undefined;
+    return { service, softwareVersion };
+  }
+
+  return {
+    recordStart(state, { softwareVersion }) {
+      const { route, service, incoming } = state;
+      if (route.repeat !== Repeat.Resume) return;
+      state.origin ??= { service, softwareVersion };
+      const { resumes, requestId } = incoming.metadata;
+      origins.record(resumes ?? requestId, state.origin);
+    },
+    find(state, onFound) {
+      const { resumes } = state.incoming.metadata;
+      if (resumes === undefined) {
+        onFound(checkOrigin(state, findOnlyOrigin(state)));
+        return;
+      }
+      origins.find(resumes, (result) => {
+        if (result.kind === 'known') onFound(checkOrigin(state, result.origin));
+        else if (result.kind === 'unknown') onFound(checkOrigin(state, findOnlyOrigin(state)));
+        else onFound({ kind: 'none', reason: 'no answer about the stream' });
+      });
+    },
+  };
+}
+
+function checkOrigin({ route }: RequestState, origin: StreamOrigin | undefined): TakenUpStream {
+  if (!origin) return { kind: 'none', reason: 'stream of unknown origin' };
+  if (!isRoutedTo(route, origin.service)) {
+    return { kind: 'none', reason: 'stream of another service' };
+  }
+  return { kind: 'origin', origin };
+}
