Soak: servers of two software versions, callers that take up their streams

The soak's servers had one version and its callers never took up a stream. Callers of resumable streams now take up an interrupted one at any entry, naming the first request; the check compares the whole stream over both requests, in which each event names the version of its server.

--- a/packages/bench/src/soak/callers.ts
+++ b/packages/bench/src/soak/callers.ts
@@ -1,12 +1,20 @@
 /** Callers of the soak test: send requests of every kind and record the answers. */
 import { Agent, request as send } from 'undici';
-import { API_KEY_HEADER, DEADLINE_HEADER, REQUEST_ID_HEADER } from '@masticbend/platform/ingress';
+import {
+  API_KEY_HEADER,
+  DEADLINE_HEADER,
+  LAST_EVENT_ID_HEADER,
+  REQUEST_ID_HEADER,
+  RESUMES_HEADER,
+} from '@masticbend/platform/ingress';
 
 /** Time a caller waits for the complete answer, in milliseconds. */
 const CALLER_TIMEOUT_MS = 3_000;
 /** Maximum number of connections of all callers to one entry. */
 const CONNECTIONS_PER_ENTRY = 8;
-const PATHS = ['/once/', '/again/', '/stream/', '/resume-stream/'] as const;
+const RESUMABLE_PATH = '/resume-stream/';
+const PATHS = ['/once/', '/again/', '/stream/', RESUMABLE_PATH] as const;
+const COMPLETE_EVENTS = /^(?:id: \d+\n.*\n\n)+/;
 
 /** A request and its answer as recorded by the caller; times are from `performance.now()`. */
 export interface CallRecord {
@@ -21,6 +29,9 @@
   body: string;
   /** True if there was no answer or it ended early. */
   interrupted: boolean;
+  /** Id of the request whose stream this one takes up, and the events that were received before. */
+  resumes?: string;
+  before: string;
 }
 
 /** Starts callers at a constant rate; `stop` waits for all outstanding answers. */
@@ -34,9 +45,21 @@
   const inFlight = new Set<Promise<void>>();
   let callCount = 0;
 
+  /** Sends a request, and takes its stream up at any entry if it is interrupted. */
   async function call(): Promise<void> {
-    const { entry, key } = chooseTarget();
     const path = PATHS[Math.floor(drawRandom() * PATHS.length)]!;
+    const record = await sendCall(path);
+    const [events] = COMPLETE_EVENTS.exec(record.body) ?? [];
+    if (record.interrupted && path === RESUMABLE_PATH && events !== undefined) {
+      await sendCall(path, { resumes: record.id, before: events });
+    }
+  }
+
+  async function sendCall(
+    path: string,
+    { resumes, before }: Pick<CallRecord, 'resumes' | 'before'> = { before: '' },
+  ): Promise<CallRecord> {
+    const { entry, key } = chooseTarget();
     callCount += 1;
     const record: CallRecord = {
       id: `r${callCount}`,
@@ -48,6 +71,8 @@
       status: 0,
       body: '',
       interrupted: false,
+      resumes,
+      before,
     };
     records.push(record);
     try {
@@ -59,6 +84,10 @@
           [API_KEY_HEADER]: key,
           [REQUEST_ID_HEADER]: record.id,
           [DEADLINE_HEADER]: String(CALLER_TIMEOUT_MS),
+          ...(resumes !== undefined && {
+            [RESUMES_HEADER]: resumes,
+            [LAST_EVENT_ID_HEADER]: findLastId(before),
+          }),
         },
         signal: AbortSignal.timeout(CALLER_TIMEOUT_MS),
       });
@@ -69,6 +98,7 @@
       record.interrupted = true;
     }
     record.endedAt = performance.now();
+    return record;
   }
 
   const timer = setInterval(() => {
@@ -85,3 +115,7 @@
     },
   };
 }
+
+function findLastId(events: string): string {
+  return [...events.matchAll(/^id: (\d+)$/gm)].at(-1)![1]!;
+}
--- a/packages/bench/src/soak/checks.ts
+++ b/packages/bench/src/soak/checks.ts
@@ -8,6 +8,9 @@
 /** Minimum fraction of requests to be served after the recovery from the last fault. */
 const MIN_SERVED_FRACTION = 0.95;
 
+/** Software version in the first event of a stream. */
+const STREAM_VERSION = /^id: \d+\ndata: \S+ (\S+) /;
+
 /** Records of a soak test; times are from `performance.now()`. */
 export interface Observations {
   records: readonly CallRecord[];
@@ -33,7 +36,7 @@
 }
 
 function checkRecord(record: CallRecord, runs: readonly Run[]): string[] {
-  const { id, path, status, body, interrupted } = record;
+  const { id, path, status } = record;
   const violations: string[] = [];
   const isOnce = path === '/once/' || path === '/stream/';
   if (isOnce && runs.length > 1) violations.push(`${id} ${path} ran ${runs.length} times`);
@@ -41,15 +44,20 @@
   if (isOnce && [429, 503].includes(status) && runs.length > 0) {
     violations.push(`${id} ${path} was refused as not run, and ran`);
   }
-  if (status === 200) violations.push(...checkBody(id, path, body, interrupted));
+  if (status === 200) violations.push(...checkBody(record));
   return violations;
 }
 
-function checkBody(id: string, path: string, body: string, interrupted: boolean): string[] {
-  const answer = path.includes('stream') ? formatEvents(id) : formatBody(id);
-  if (!interrupted && body !== answer) return [`${id} ${path} ended as whole with other bytes`];
+/** A stream is the same over all requests that took it up, with one software version. */
+function checkBody({ id, path, body, before, interrupted, resumes = id }: CallRecord): string[] {
+  const received = `${before}${body}`;
+  const [, softwareVersion = ''] = STREAM_VERSION.exec(received) ?? [];
+  const answer = path.includes('stream') ? formatEvents(resumes, softwareVersion) : formatBody(id);
+  if (!interrupted && received !== answer) return [`${id} ${path} ended as whole with other bytes`];
   // An interrupted answer must be a prefix of the full one; a stream may end inside an event.
-  if (interrupted && !answer.startsWith(body)) return [`${id} ${path} broke off with other bytes`];
+  if (interrupted && !answer.startsWith(received)) {
+    return [`${id} ${path} broke off with other bytes`];
+  }
   return [];
 }
 
--- a/packages/bench/src/soak/cluster.ts
+++ b/packages/bench/src/soak/cluster.ts
@@ -24,6 +24,8 @@
 /** Interval between registrations of the backend servers, in milliseconds. */
 const REGISTRATION_INTERVAL_MS = 400;
 export const SLOTS_PER_ENGINE = 6;
+/** Software versions of the backend servers that serve side by side. */
+const SOFTWARE_VERSIONS = 2;
 
 /** Bounds in the settings of the entries; the checks verify those of keys and leaving servers. */
 export const BOUNDS = {
@@ -71,13 +73,13 @@
   const engineRelays: Relay[] = [];
   for (let index = 0; index < engineCount; index += 1) {
     const host = `127.0.1.${index + 1}`;
-    const engine = await startEngine(`i-${index}`, host, draw);
+    const engine = await startEngine(`i-${index}`, host, `v${index % SOFTWARE_VERSIONS}`, draw);
     engines.push(engine);
     engineRelays.push(await startRelay(host, engine.address));
   }
 
   function registerServers(): void {
-    engines.forEach(({ id }, index) => {
+    engines.forEach(({ id, softwareVersion }, index) => {
       registerServer(store, {
         id,
         bornAt: 1,
@@ -86,7 +88,7 @@
         dataCentre: `z${index % 2}`,
         slots: SLOTS_PER_ENGINE,
         state: leaving.has(id) ? ServerState.Leaving : ServerState.Ready,
-        softwareVersion: 'v1',
+        softwareVersion,
         coldMs: 0,
       });
     });
--- a/packages/bench/src/soak/engine.ts
+++ b/packages/bench/src/soak/engine.ts
@@ -9,6 +9,7 @@
   LAST_EVENT_ID_HEADER,
   NOT_RUN_HEADER,
   REQUEST_ID_HEADER,
+  RESUMES_HEADER,
   SIGNATURE_HEADER,
 } from '@masticbend/platform/ingress';
 
@@ -42,6 +43,7 @@
 /** A running backend server. */
 export interface SoakEngine {
   id: string;
+  softwareVersion: string;
   address: string;
   runs: Run[];
   /** Resets every open connection. */
@@ -55,16 +57,17 @@
   return `answer to ${request}`;
 }
 
-/** Formats the full rest of a request's stream after the event with id `after`. */
-export function formatEvents(request: string, after = 0): string {
-  const ids = Array.from({ length: EVENTS_PER_STREAM - after }, (_, index) => after + index + 1);
-  return ids.map((id) => formatEvent(request, id)).join('');
+/** Formats a complete stream, as servers of one software version send it. */
+export function formatEvents(stream: string, softwareVersion: string): string {
+  const ids = Array.from({ length: EVENTS_PER_STREAM }, (_, index) => index + 1);
+  return ids.map((id) => formatEvent(stream, softwareVersion, id)).join('');
 }
 
 /** Starts a backend server on a loopback address; `draw` returns random numbers from 0 to 1. */
 export async function startEngine(
   id: string,
   host: string,
+  softwareVersion: string,
   draw: () => number,
 ): Promise<SoakEngine> {
   const runs: Run[] = [];
@@ -91,17 +94,19 @@
     runs.push({ request: requestId, server: id, startedAt: performance.now(), after });
     response.setHeader(SIGNATURE_HEADER, `stamp-${id}`);
     if (draw() < faults.failedFraction) response.writeHead(500).end('failed');
-    else if (request.url!.includes('stream')) sendStream(response, requestId, after);
-    else setTimeout(() => response.end(formatBody(requestId)), ANSWER_DELAY_MS);
+    else if (request.url!.includes('stream')) {
+      sendStream(response, String(request.headers[RESUMES_HEADER] ?? requestId), after);
+    } else setTimeout(() => response.end(formatBody(requestId)), ANSWER_DELAY_MS);
   }
 
-  function sendStream(response: ServerResponse, requestId: string, after: number): void {
+  function sendStream(response: ServerResponse, stream: string, after: number): void {
     if (draw() < faults.unframedFraction) response.removeHeader('transfer-encoding');
     const truncatedAfter =
       draw() < faults.truncatedFraction
         ? after + Math.floor(draw() * (EVENTS_PER_STREAM - after))
         : EVENTS_PER_STREAM;
-    sendEvents(response, requestId, after, truncatedAfter);
+    const createEvent = (event: number) => formatEvent(stream, softwareVersion, event);
+    sendEvents(response, createEvent, after, truncatedAfter);
   }
 
   const server = createServer((request, response) => {
@@ -118,6 +123,7 @@
   });
   return {
     id,
+    softwareVersion,
     address: `${host}:${(server.address() as AddressInfo).port}`,
     runs,
     faults,
@@ -131,16 +137,21 @@
   };
 }
 
-function formatEvent(request: string, id: number): string {
-  return `id: ${id}\ndata: ${request} ${id}\n\n`;
+function formatEvent(stream: string, softwareVersion: string, id: number): string {
+  return `id: ${id}\ndata: ${stream} ${softwareVersion} ${id}\n\n`;
 }
 
 /** Sends events up to `last`; a stream that ends before its last event ends within the next one. */
-function sendEvents(response: ServerResponse, request: string, after: number, last: number): void {
+function sendEvents(
+  response: ServerResponse,
+  createEvent: (id: number) => string,
+  after: number,
+  last: number,
+): void {
   response.writeHead(200, { 'content-type': 'text/event-stream' });
   let next = after + 1;
   const timer = setInterval(() => {
-    const event = formatEvent(request, next);
+    const event = createEvent(next);
     if (next <= last) response.write(event);
     else {
       clearInterval(timer);
