Soak relay: the end of a connection does not overtake its bytes

Cause, from the logs of entry-2: streams without chunks of i-2 ended between two events (framing=connection, tailBytes=0) while the relay before i-2 delayed bytes; it forwarded the end of a connection at once. It also forwarded the end of connections whose bytes it dropped. Neither can happen in a network, where the end follows the bytes. The check stays as it is; the relay delays or drops the end with the bytes. Two of three new tests failed before.

--- a/packages/bench/src/soak/relay.ts
+++ b/packages/bench/src/soak/relay.ts
@@ -42,17 +42,19 @@
   const [targetHost, targetPort] = target.split(':');
 
   function relayBytes(link: Link, from: Socket, to: Socket, isForward: boolean): void {
-    from.on('data', (bytes) => {
+    /** Forwards bytes or the end of the connection, which must not overtake the bytes before it. */
+    function relay(send: () => void): void {
       const isDropped =
         link.isSilenced ||
         state.mode === RelayMode.Cut ||
         (state.mode === RelayMode.OneWay && !isForward);
       if (isDropped) return;
-      if (state.mode === RelayMode.Delay) setTimeout(() => to.write(bytes), DELAY_MS);
-      else to.write(bytes);
-    });
+      if (state.mode === RelayMode.Delay) setTimeout(send, DELAY_MS);
+      else send();
+    }
+    from.on('data', (bytes) => relay(() => to.write(bytes)));
     from.on('error', () => to.destroy());
-    from.on('end', () => to.end());
+    from.on('end', () => relay(() => to.end()));
     from.on('close', (failed) => {
       links.delete(link);
       if (failed) to.resetAndDestroy();
--- /dev/null
+++ b/packages/bench/test/relay.test.ts
@@ -0,0 +1,67 @@
+import { once } from 'node:events';
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
+import { expect } from 'chai';
+import { RelayMode, startRelay, type Relay } from '../src/soak/relay.js';
+
+const HOST = '127.0.0.1';
+const TEXT = 'the whole answer';
+/** Longer than the delay of the relay. */
+const WAIT_MS = 400;
+
+interface Received {
+  text: string;
+  hasEnded: boolean;
+}
+
+function collect(socket: Socket): Received {
+  const received: Received = { text: '', hasEnded: false };
+  socket.on('data', (bytes) => {
+    received.text += bytes.toString();
+  });
+  socket.on('end', () => {
+    received.hasEnded = true;
+  });
+  socket.on('error', () => undefined);
+  return received;
+}
+
+describe('relay of the soak', () => {
+  let relay: Relay;
+  let closeServer: () => void;
+
+  /** Connects through a relay in a mode to a server that sends its text and closes. */
+  async function receive(mode: RelayMode): Promise<Received> {
+    const server = createServer((socket) => {
+      socket.on('error', () => undefined);
+      socket.end(TEXT);
+    }).listen(0, HOST);
+    await once(server, 'listening');
+    closeServer = () => server.close();
+    relay = await startRelay(HOST, `${HOST}:${(server.address() as AddressInfo).port}`);
+    relay.setMode(mode);
+    const [host, port] = relay.address.split(':');
+    const received = collect(connect(Number(port), host));
+    await new Promise((resolve) => {
+      setTimeout(resolve, WAIT_MS);
+    });
+    return received;
+  }
+
+  afterEach(() => {
+    relay.close();
+    closeServer();
+  });
+
+  // The end overtook delayed bytes: a complete answer without a length looked shorter than it was.
+  it('delays the end of a connection with its bytes', async () => {
+    expect(await receive(RelayMode.Delay)).to.deep.equal({ text: TEXT, hasEnded: true });
+  });
+
+  it('drops the end of a connection with its bytes', async () => {
+    expect(await receive(RelayMode.Cut)).to.deep.equal({ text: '', hasEnded: false });
+  });
+
+  it('passes bytes and the end of a connection on', async () => {
+    expect(await receive(RelayMode.Pass)).to.deep.equal({ text: TEXT, hasEnded: true });
+  });
+});
