--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -91,6 +91,8 @@
   host?: string;
   /** Software versions of the backend servers, in their order. */
   versions?: readonly string[];
+  /** Changes of the bounds in the settings. */
+  bounds?: Partial<GatewaySettings['bounds']>;
 }
 
 export interface Reply {
@@ -104,11 +106,12 @@
 /** Starts an entry in front of backend servers. */
 export async function startDeployment(
   scripts: Script[],
-  { host = '127.0.0.1', versions = [] }: DeploymentOptions = {},
+  { host = '127.0.0.1', versions = [], bounds = {} }: DeploymentOptions = {},
 ): Promise<Deployment> {
   const store = await startStoreStandIn();
   const backends = await Promise.all(scripts.map((script) => startBackend(script, host)));
-  const settings = await createSettings(store.address);
+  const defaults = await createSettings(store.address);
+  const settings = { ...defaults, bounds: { ...defaults.bounds, ...bounds } };
   const gateway = createGateway(settings);
   const entries: Gateway[] = [gateway];
 
