An attempt at a silent server goes on until another one answers

Callers saw a 502 or 504, or a broken stream, from servers that were sound and had paused for about a second. Cause: silence ended the attempt before a replacement was certain. Without budget, another server or a permit, or with a replacement that was refused, reset, failed or was silent as well, nothing was left of the request, while its server went on. The class: the only copy of work is given up before its replacement has shown that it works.

Silence is now reported and ends nothing. Where a repeat is allowed, a second attempt is placed beside the silent one, at most two at a time; the first whose answer reaches the caller ends the other before any byte is relayed, so that streams continue from one server only. An attempt that fails leaves the request to the other one; the failure of a server is kept and delivered at the deadline. A repeat that was placed and not sent is returned to the budget. A server that goes on is no longer ejected, and its silence and return are logged (attempt-silent, attempt-resumed). A replacement that finds no server is tried again at the next silence.

In the scripted servers of the test a resumed stream now begins with its head and not with events that were delivered before.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -76,7 +76,7 @@
   deadlineMs: number;
   /** Last event that an earlier attempt delivered. */
   lastEventId?: string;
-  /** Time without data from the server after which the attempt is aborted; 0 for no limit. */
+  /** Time without data from the server after which it is silent; 0 for no limit. */
   inactivityTimeoutMs: number;
 }
 
@@ -89,6 +89,12 @@
   onFirstOutput: (elapsedMs: number) => void;
   /** Mean time per event since the previous complete events. */
   onEventInterval: (intervalMs: number) => void;
+  /** The server is silent; repeated while it stays so. The attempt goes on. */
+  onSilent: () => void;
+  /** The server has sent data after a silence. */
+  onResumed: () => void;
+  /** The next part of the answer goes to the caller, up to the event with this id. */
+  onRelay: (lastEventId: string | undefined) => void;
   /** Called once, as the last event. */
   onResult: (result: AttemptResult) => void;
 }
@@ -120,6 +126,7 @@
   let eventCount = 0;
   let { lastEventId } = request;
   let hasEnded = false;
+  let isSilent = false;
   let stopInactivityTimer = () => {};
   // Assigned below, before any event can occur.
   let exchange: Exchange | undefined;
@@ -144,11 +151,19 @@
 
   function startInactivityTimer(): void {
     stopInactivityTimer();
-    if (request.inactivityTimeoutMs > 0) {
-      stopInactivityTimer = clock.startTimer(request.inactivityTimeoutMs, () =>
-        failAttempt('silent'),
-      );
-    }
+    if (request.inactivityTimeoutMs === 0) return;
+    stopInactivityTimer = clock.startTimer(request.inactivityTimeoutMs, () => {
+      isSilent = true;
+      startInactivityTimer();
+      events.onSilent();
+    });
+  }
+
+  function recordData(): void {
+    startInactivityTimer();
+    if (!isSilent) return;
+    isSilent = false;
+    events.onResumed();
   }
 
   function isEventStream(): boolean {
@@ -156,7 +171,7 @@
   }
 
   function handleHead(status: number, headers: HeaderMap): void {
-    startInactivityTimer();
+    recordData();
     events.onNotice(readServerNotice(status, headers));
     if (!isAnswerTo(request.requestId, headers)) failAttempt('answer to another request');
     else if (isNotRun(status, headers)) finish({ kind: 'not-run', status });
@@ -183,6 +198,7 @@
     lastOutputAt = now;
     eventCount += batch.count;
     lastEventId = batch.lastId ?? lastEventId;
+    events.onRelay(lastEventId);
     startStream(head!);
     relay(batch.bytes);
   }
@@ -205,7 +221,7 @@
 
   function handleData(bytes: Buffer): void {
     if (hasEnded || !head) return;
-    startInactivityTimer();
+    recordData();
     receivedBytes += bytes.length;
     if (receivedBytes > MAX_ANSWER_BYTES) {
       failAttempt('answer too large');
@@ -225,6 +241,7 @@
     bufferedBytes += bytes.length;
     if (bufferedBytes <= MAX_BUFFERED_BYTES) return;
     isRelaying = true;
+    events.onRelay(undefined);
     delivery.begin(head.status, head.headers);
     relay(Buffer.concat(bufferedChunks));
     bufferedChunks = [];
@@ -260,6 +277,7 @@
       return;
     }
     const stream = describeStream();
+    events.onRelay(lastEventId);
     startStream({ status, headers });
     const remainder = splitter.takeRemainder();
     if (remainder.length > 0) delivery.write(remainder);
--- a/packages/gateway/src/dispatch.ts
+++ b/packages/gateway/src/dispatch.ts
@@ -10,7 +10,7 @@
 import type { BackendClient } from './backend-client.js';
 import type { CrashWatch, SentRequest } from './crash-watch.js';
 import type { PermitClient } from './permit-client.js';
-import type { RequestState } from './request-state.js';
+import type { RequestState, RunningAttempt } from './request-state.js';
 import { chooseInactivityTimeoutMs } from './request-timing.js';
 
 /** Dependencies of the dispatch. */
@@ -24,6 +24,11 @@
   onNotice: (entry: ServerEntry, notice: ServerNotice) => void;
   /** Called when the caller gets the first event of a stream from a server. */
   onStreamStart: (state: RequestState, server: BackendServer) => void;
+  /** Called when the server of an attempt is silent, and when it goes on. */
+  onSilent: (state: RequestState, running: RunningAttempt) => void;
+  onResumed: (state: RequestState, running: RunningAttempt) => void;
+  /** Called before a part of the answer goes to the caller. */
+  onRelay: (state: RequestState, running: RunningAttempt) => void;
   /** Called when an attempt at a backend server has ended; its slot is free again. */
   onResult: (state: RequestState, entry: ServerEntry, result: AttemptResult) => void;
 }
@@ -33,10 +38,9 @@
 
 /** Returns a function that starts attempts. */
 export function createDispatch(options: DispatchOptions): Dispatch {
-  const { clock, client, serverPool, permits, crashWatch, onNotice, onStreamStart, onResult } =
-    options;
+  const { clock, client, serverPool, permits, crashWatch } = options;
 
-  /** Occupies a slot of the server until `state.releaseSlot` is called. */
+  /** Occupies a slot of the server until `releaseSlot` is called. */
   function takeSlot(state: RequestState, entry: ServerEntry) {
     const { id, work } = state;
     const pendingTokens = permits.findLoad(entry.server.id)?.pendingTokens;
@@ -47,12 +51,12 @@
       if (isPrefilling) serverPool.removePendingPrompt(entry, work);
       isPrefilling = false;
     };
-    state.releaseSlot = () => {
+    const releaseSlot = () => {
       finishPrefill();
       serverPool.removeRunning(entry);
       permits.release(entry.server.id, id);
     };
-    return { promptKilotokens, finishPrefill };
+    return { promptKilotokens, finishPrefill, releaseSlot };
   }
 
   return (state, entry) => {
@@ -60,9 +64,10 @@
     const { server } = entry;
     const startedAt = clock.now();
     const sent: SentRequest = { server, parts: state.parts };
-    state.sent = sent;
-    const { promptKilotokens, finishPrefill } = takeSlot(state, entry);
-    state.attempt = startAttempt(
+    const { promptKilotokens, finishPrefill, releaseSlot } = takeSlot(state, entry);
+    const running = { entry, sent, isSilent: false, releaseSlot } as RunningAttempt;
+    state.attempts.add(running);
+    running.attempt = startAttempt(
       clock,
       client,
       server,
@@ -82,9 +87,10 @@
       {
         onSent() {
           state.sentCount += 1;
+          state.hasRepeat = false;
           state.firstSentAt ??= clock.now();
         },
-        onNotice: (notice) => onNotice(entry, notice),
+        onNotice: (notice) => options.onNotice(entry, notice),
         onFirstOutput(elapsedMs) {
           finishPrefill();
           permits.reportFirstOutput(entry.server.id, state.id);
@@ -93,17 +99,23 @@
           crashWatch.recordOutput(sent);
           if (!route.streamed) return;
           serverPool.recordFirstEvent(entry, promptKilotokens, elapsedMs);
-          onStreamStart(state, server);
+          options.onStreamStart(state, server);
         },
         onEventInterval: (intervalMs) => serverPool.recordEventInterval(entry, intervalMs),
+        onSilent: () => options.onSilent(state, running),
+        onResumed: () => options.onResumed(state, running),
+        onRelay(lastEventId) {
+          state.lastEventId = lastEventId;
+          options.onRelay(state, running);
+        },
         onResult(result) {
-          state.releaseSlot();
-          state.attempt = undefined;
+          releaseSlot();
+          state.attempts.delete(running);
           if (result.kind === 'broken' && result.isConnectionLost) crashWatch.recordLoss(sent);
           if (!route.streamed && result.kind === 'answer') {
             serverPool.recordAnswerTime(entry, clock.now() - startedAt);
           }
-          onResult(state, entry, result);
+          options.onResult(state, entry, result);
         },
       },
     );
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -58,13 +58,13 @@
 
 /** Returns a placement without waiting requests. */
 export function createPlacement(options: PlacementOptions): Placement {
-  const { clock, serverPool, requestQueue, permits, findOpenRequest, drawRetryMs, send, refuse } =
-    options;
+  const { clock, serverPool, requestQueue, permits, findOpenRequest, drawRetryMs } = options;
   let stopExpiryTimer: (() => void) | undefined;
 
   /** Sends a request, requests permits for it, queues it, or refuses it. */
   function place(state: RequestState): void {
     const { service } = state;
+    state.isPlacing = true;
     const choice = chooseServer(state);
     if (choice.kind === 'server' && choice.load) {
       sendPermitRequests(state, choice, choice.load);
@@ -82,6 +82,22 @@
     }
   }
 
+  function send(state: RequestState, entry: ServerEntry, finishMs: number): void {
+    state.isPlacing = false;
+    options.send(state, entry, finishMs);
+  }
+
+  function refuse(state: RequestState, failure: Failure): void {
+    cancel(state);
+    options.refuse(state, failure);
+  }
+
+  function cancel(state: RequestState): void {
+    state.isPlacing = false;
+    requestQueue.remove(state.service, state.id);
+    releasePermitRequests(state);
+  }
+
   function chooseServer(state: RequestState): Choice {
     const now = clock.now();
     const { service, origin, work, triedServers, pendingServers, deadlineAt } = state;
@@ -186,7 +202,7 @@
     const state = findOpenRequest(id);
     const entry = serverPool.find(serverId);
     state?.pendingServers.delete(serverId);
-    if (!state || state.attempt || !entry) {
+    if (!state?.isPlacing || !entry) {
       permits.release(serverId, id);
       return;
     }
@@ -205,7 +221,7 @@
     if (!state) return;
     state.pendingServers.delete(serverId);
     state.minRefusedWaitMs = Math.min(waitMs, state.minRefusedWaitMs ?? Infinity);
-    if (state.attempt || state.pendingServers.size > 0) return;
+    if (!state.isPlacing || state.pendingServers.size > 0) return;
     state.triedServers.add(serverId);
     const now = clock.now();
     const isLate = computeMaxLateWaitMs(now, state) <= 0;
@@ -217,7 +233,7 @@
     const state = findOpenRequest(id);
     if (!state) return;
     state.pendingServers.delete(serverId);
-    if (!state.attempt && state.pendingServers.size === 0) place(state);
+    if (state.isPlacing && state.pendingServers.size === 0) place(state);
   }
 
   function releasePermitRequests(state: RequestState): void {
@@ -272,10 +288,7 @@
 
   return {
     place,
-    withdraw(state) {
-      requestQueue.remove(state.service, state.id);
-      releasePermitRequests(state);
-    },
+    withdraw: cancel,
     sendWaiting,
     sendAllWaiting,
     agentEvents: { onPermit: receivePermit, onRefusal: receiveRefusal, onLost: handleAgentLoss },
--- a/packages/gateway/src/repeat.ts
+++ b/packages/gateway/src/repeat.ts
@@ -7,14 +7,16 @@
 
 /**
  * Returns whether an answer is delivered to the caller unchanged. A backend server's failure is not
- * delivered while a repeat is allowed, and no answer is delivered after another one has begun.
+ * delivered while a repeat is allowed or another attempt is in progress, and no answer is delivered
+ * after another one has begun.
  */
 export function isFinalAnswer(
-  { route, sentCount, delivery }: RequestState,
+  { route, sentCount, attempts, delivery }: RequestState,
   status: number,
 ): boolean {
   if (delivery.hasBegun()) return false;
-  return status < 500 || route.repeat === Repeat.Never || sentCount >= route.attempts;
+  if (status < 500 || route.repeat === Repeat.Never) return true;
+  return sentCount >= route.attempts && attempts.size === 0;
 }
 
 /** Returns whether a request may be sent again, provided that the repeat budget allows it. */
--- a/packages/gateway/src/request-log.ts
+++ b/packages/gateway/src/request-log.ts
@@ -14,6 +14,9 @@
   writeDenied: (incoming: IncomingRequest, failure: Failure) => void;
   writePlaced: (state: RequestState, entry: ServerEntry, finishMs: number) => void;
   writeAttemptFailed: (state: RequestState, entry: ServerEntry, result: AttemptResult) => void;
+  /** The server of an attempt is silent; `isRepeated` tells whether another attempt is placed. */
+  writeSilent: (state: RequestState, entry: ServerEntry, isRepeated: boolean) => void;
+  writeResumed: (state: RequestState, entry: ServerEntry) => void;
   writeEjected: (entry: ServerEntry, reason: string, now: number) => void;
   writeRepeated: (state: RequestState, from: ServerEntry) => void;
   writeRefused: (state: RequestState, failure: Failure, waiting: number) => void;
@@ -69,6 +72,24 @@
         ...('stream' in result && describeStream(result.stream)),
       });
     },
+    writeSilent(state, { server }, isRepeated) {
+      log.info(LogEvent.AttemptSilent, {
+        request: state.incoming.metadata.requestId,
+        server: server.id,
+        repeated: isRepeated,
+        sent: state.sentCount,
+        begun: state.delivery.hasBegun(),
+        totalMs: getTotalMs(state),
+      });
+    },
+    writeResumed(state, { server }) {
+      log.info(LogEvent.AttemptResumed, {
+        request: state.incoming.metadata.requestId,
+        server: server.id,
+        attempts: state.attempts.size,
+        totalMs: getTotalMs(state),
+      });
+    },
     writeEjected({ server, consecutiveFailures, ejectedUntil }, reason, now) {
       log.warn(LogEvent.ServerEjected, {
         server: server.id,
--- a/packages/gateway/src/request-state.ts
+++ b/packages/gateway/src/request-state.ts
@@ -2,7 +2,7 @@
 import type { RequestMetadata } from '@masticbend/platform/ingress';
 import { listSharedParts } from '@masticbend/scheduling/prompt-parts';
 import { chooseService } from '@masticbend/scheduling/gateway-route';
-import type { PlacedWork } from '@masticbend/scheduling/server-entry';
+import type { PlacedWork, ServerEntry } from '@masticbend/scheduling/server-entry';
 import type { StreamOrigin } from '@masticbend/scheduling/stream-origins';
 import type { GatewayAccount, GatewayRoute } from '@masticbend/settings/routing';
 import type { Attempt, AttemptResult } from './attempt.js';
@@ -26,6 +26,18 @@
   arrivedAt: number;
 }
 
+/** An attempt in progress. */
+export interface RunningAttempt {
+  entry: ServerEntry;
+  attempt: Attempt;
+  /** The attempt as the crash watch tracks it. */
+  sent: SentRequest;
+  /** Its server has sent nothing for the inactivity timeout. */
+  isSilent: boolean;
+  /** Releases the slot that the attempt occupies. */
+  releaseSlot: () => void;
+}
+
 /** A finished request, for metrics. */
 export interface RequestOutcome {
   tier: number;
@@ -58,6 +70,10 @@
   /** Units taken from the account's limit. */
   units: number;
   deadlineAt: number;
+  /** It waits for a server: in the request queue, or for permits. */
+  isPlacing: boolean;
+  /** Servers to which the request was sent. */
+  sentServers: Set<string>;
   /**
    * Servers excluded from further placement: the request was sent there, or the refusal of their
    * agent left no permit request pending.
@@ -83,11 +99,10 @@
   /** Number of attempts that may have run. */
   possibleRuns: number;
   lastEventId?: string;
-  attempt?: Attempt;
-  /** The latest attempt as the crash watch tracks it. */
-  sent?: SentRequest;
-  /** Releases the slot that the attempt occupies. */
-  releaseSlot: () => void;
+  /** A repeat was taken from the budget and not sent yet. */
+  hasRepeat: boolean;
+  /** One attempt, or a silent one and that which may replace it. */
+  attempts: Set<RunningAttempt>;
   /** A failure answered by a backend server, delivered if no repeat succeeds. */
   fallback?: Extract<AttemptResult, { kind: 'answer' }>;
   lastFailureReason: string;
@@ -129,6 +144,8 @@
     isTrial: false,
     units: 0,
     deadlineAt: arrivedAt + timeoutMs,
+    isPlacing: false,
+    sentServers: new Set(),
     triedServers: new Set(),
     pendingServers: new Set(),
     permitRequests: 0,
@@ -138,7 +155,8 @@
     firstSentAt: undefined,
     firstByteAt: undefined,
     lastFailureReason: '',
-    releaseSlot: () => {},
+    hasRepeat: false,
+    attempts: new Set(),
     stopDeadlineTimer: () => {},
   };
 }
--- a/packages/gateway/src/request-timing.ts
+++ b/packages/gateway/src/request-timing.ts
@@ -13,9 +13,9 @@
 /** Longest wait of a continuation, as a multiple of the objective. */
 const CONTINUATION_WAIT_FACTOR = 2;
 /**
- * Time without data after which a repeatable request is sent to another server: the greatest of the
- * minimum and these multiples of the route's objective and, for streams, of its objective for the
- * time between two events.
+ * Time without data after which a repeatable request is also sent to another server: the greatest
+ * of the minimum and these multiples of the route's objective and, for streams, of its objective
+ * for the time between two events.
  */
 const INACTIVITY_OBJECTIVE_FACTOR = 2.5;
 const INACTIVITY_PAUSE_FACTOR = 4;
@@ -85,11 +85,11 @@
 }
 
 /** Returns whether the request repeats an attempt or takes up a stream. */
-function isContinuation({ possibleRuns, origin }: RequestState): boolean {
-  return possibleRuns > 0 || origin !== undefined;
+function isContinuation({ possibleRuns, attempts, origin }: RequestState): boolean {
+  return possibleRuns > 0 || attempts.size > 0 || origin !== undefined;
 }
 
-/** Returns the time without data after which a request is repeated; 0 where it may not be. */
+/** Returns the time without data after which a server is silent; 0 where no repeat may follow. */
 export function chooseInactivityTimeoutMs({ route, sentCount }: RequestState): number {
   if (route.repeat === Repeat.Never || sentCount + 1 >= route.attempts) return 0;
   const objectiveBasedMs = route.objectiveMs * INACTIVITY_OBJECTIVE_FACTOR;
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -32,8 +32,10 @@
   type IncomingRequest,
   type RequestOutcome,
   type RequestState,
+  type RunningAttempt,
 } from './request-state.js';
 import type { ServerNotices } from './server-notices.js';
+import { createSilentAttempts } from './silent-attempts.js';
 import { createTakenUpStreams, isTakenUp, type TakenUpStreamsOptions } from './taken-up-streams.js';
 
 /** Margin after the deadline in which a backend server's own answer is still delivered. */
@@ -113,12 +115,22 @@
     findOpenRequest: (id) => openRequests.get(id),
     drawRetryMs,
     send: sendToServer,
-    refuse: finishWithoutFurtherAttempt,
+    refuse: finishPlacing,
   });
 
   const takenUpStreams = createTakenUpStreams(options);
+  const silentAttempts = createSilentAttempts({
+    clock,
+    serverPool,
+    placement,
+    requestLog,
+    tryTakeRepeat,
+  });
   const dispatch = createDispatch({
     ...options,
+    onSilent: silentAttempts.handleSilent,
+    onResumed: silentAttempts.handleResumed,
+    onRelay: stopOtherAttempts,
     onStreamStart: takenUpStreams.recordStart,
     onResult(state, entry, result) {
       options.recordAttempt(entry.server.id, result.kind);
@@ -201,7 +213,7 @@
     const accessFailure = checkAccessAgain(options.getView(), state, options.areKeysFresh);
     if (accessFailure) {
       permits.release(entry.server.id, state.id);
-      finishWithoutFurtherAttempt(state, accessFailure);
+      finishPlacing(state, accessFailure);
       return;
     }
     if (refuseBlocked(state)) {
@@ -215,6 +227,7 @@
       return;
     }
     recordTrial(state);
+    state.sentServers.add(entry.server.id);
     state.triedServers.add(entry.server.id);
     requestLog.writePlaced(state, entry, finishMs);
     dispatch(state, entry);
@@ -224,18 +237,22 @@
     if (result.kind === 'delivered') {
       serverPool.recordSuccess(entry);
       requestLog.writeFinished(state, String(result.status), result.stream);
+      stopAttempts(state);
       finish(state, String(result.status), false);
       return;
     }
     if (result.kind === 'answer' && isFinalAnswer(state, result.status)) {
       if (result.status >= 500) serverPool.recordFailure(entry);
       else serverPool.recordSuccess(entry);
+      stopAttempts(state);
       state.delivery.answer(result.status, result.headers, result.body);
       finish(state, String(result.status));
       return;
     }
     recordFailedAttempt(state, entry, result);
     if (refuseBlocked(state)) return;
+    // Another attempt goes on, or is being placed already.
+    if (state.attempts.size > 0 || state.isPlacing) return;
     if (result.kind === 'unsent') {
       placement.place(state);
     } else if (tryTakeRepeat(state)) {
@@ -280,24 +297,34 @@
   function tryTakeRepeat(state: RequestState): boolean {
     const now = clock.now();
     if (!isRepeatAllowed(now, state)) return false;
-    return repeatBudget.tryTake(now, state.service, options.countInstances());
+    state.hasRepeat ||= repeatBudget.tryTake(now, state.service, options.countInstances());
+    return state.hasRepeat;
+  }
+
+  /** Ends the placement of a request, and the request unless an attempt is still in progress. */
+  function finishPlacing(state: RequestState, refusal: Failure): void {
+    if (state.attempts.size === 0) finishWithoutFurtherAttempt(state, refusal);
+  }
+
+  function finishWithoutFurtherAttempt(state: RequestState, refusal: Failure): void {
+    if (state.possibleRuns === 0) retryAdvisor.recordRefused();
+    finishUnserved(state, refusal, { kind: ErrorKind.OutcomeUnknown });
   }
 
   /**
    * Ends a request that gets no further attempt. The answer depends on its earlier attempts:
-   * `refusal` if none can have run, otherwise the failure that a backend server answered, or an
-   * unknown outcome.
+   * `refusal` if none can have run, otherwise the failure that a backend server answered, or
+   * `unknown`, an unknown outcome.
    */
-  function finishWithoutFurtherAttempt(state: RequestState, refusal: Failure): void {
+  function finishUnserved(state: RequestState, refusal: Failure, unknown: Failure): void {
     const { fallback, delivery } = state;
     if (state.possibleRuns === 0) {
-      retryAdvisor.recordRefused();
       refuse(state, refusal);
     } else if (fallback && !delivery.hasBegun()) {
       delivery.answer(fallback.status, fallback.headers, fallback.body);
       finish(state, String(fallback.status));
     } else {
-      fail(state, { kind: ErrorKind.OutcomeUnknown });
+      fail(state, unknown);
     }
   }
 
@@ -308,11 +335,22 @@
     return part;
   }
 
-  /** Ends a request whose prompt is blocked. */
+  /**
+   * Ends a request whose prompt is blocked before a server begins the answer, which would crash it.
+   * An attempt whose answer has begun goes on. Returns whether the prompt is blocked.
+   */
   function refuseBlocked(state: RequestState): boolean {
     const part = findRefusedPart(state);
-    if (part !== undefined) finishBlocked(state, part);
-    return part !== undefined;
+    if (part === undefined) return false;
+    placement.withdraw(state);
+    for (const running of [...state.attempts]) {
+      if (running.sent.outputAt === undefined) {
+        if (running.attempt.wasSent()) state.possibleRuns += 1;
+        stopAttempt(state, running);
+      }
+    }
+    if (state.attempts.size === 0) finishBlocked(state, part);
+    return true;
   }
 
   /** A request that is sent although its prompt is blocked is a trial. */
@@ -328,26 +366,14 @@
     else fail(state, { kind: ErrorKind.PromptBlockedAfterRun });
   }
 
-  /** Aborts an attempt before its server begins the answer, which would crash the server. */
   function abortBlocked(): void {
-    for (const state of [...openRequests.values()]) {
-      const part = findRefusedPart(state);
-      const isAnswering = state.attempt !== undefined && state.sent?.outputAt !== undefined;
-      if (part !== undefined && !isAnswering) {
-        if (state.attempt?.wasSent()) state.possibleRuns += 1;
-        stopAttempt(state);
-        finishBlocked(state, part);
-      }
-    }
+    for (const state of [...openRequests.values()]) refuseBlocked(state);
     placement.sendAllWaiting();
   }
 
   function listAnswering(): SentRequest[] {
-    const answering: SentRequest[] = [];
-    for (const { attempt, sent } of openRequests.values()) {
-      if (attempt && sent?.outputAt !== undefined) answering.push(sent);
-    }
-    return answering;
+    const running = [...openRequests.values()].flatMap(({ attempts }) => [...attempts]);
+    return running.map(({ sent }) => sent).filter(({ outputAt }) => outputAt !== undefined);
   }
 
   function refuse(state: RequestState, failure: Failure): void {
@@ -371,6 +397,7 @@
   function finish(state: RequestState, outcome: string, isLogged = true): void {
     state.stopDeadlineTimer();
     placement.withdraw(state);
+    if (state.hasRepeat) repeatBudget.refund(clock.now(), state.service);
     openRequests.delete(state.id);
     if (isLogged) requestLog.writeFinished(state, outcome);
     options.recordOutcome(describeOutcome(clock.now(), state, outcome));
@@ -378,35 +405,44 @@
 
   function handleDeadline(state: RequestState): void {
     if (!openRequests.has(state.id)) return;
-    const wasSent = state.attempt?.wasSent() ?? false;
-    stopAttempt(state);
-    if (wasSent) state.possibleRuns += 1;
-    if (state.possibleRuns === 0) {
-      refuse(state, { kind: ErrorKind.DeadlineUnreachable, retryAfterMs: MIN_RETRY_AFTER_MS });
-    } else {
-      state.lastFailureReason ||= 'deadline';
-      fail(state, { kind: ErrorKind.AnswerTimeout });
-    }
+    state.possibleRuns += countSent(state);
+    stopAttempts(state);
+    state.lastFailureReason ||= 'deadline';
+    finishUnserved(
+      state,
+      { kind: ErrorKind.DeadlineUnreachable, retryAfterMs: MIN_RETRY_AFTER_MS },
+      { kind: ErrorKind.AnswerTimeout },
+    );
     placement.sendWaiting(state.service);
   }
 
   function abortRequest(state: RequestState): void {
     if (!openRequests.has(state.id)) return;
     const wasSent = state.sentCount > 0;
-    stopAttempt(state);
+    stopAttempts(state);
     if (!wasSent) returnUnits(state);
     requestLog.writeAbandoned(state);
     finish(state, 'abandoned', false);
     placement.sendWaiting(state.service);
   }
 
-  function stopAttempt(state: RequestState): void {
+  function stopAttempts(state: RequestState): void {
     placement.withdraw(state);
-    if (!state.attempt) return;
-    state.attempt.abort();
-    state.attempt = undefined;
-    if (state.sent) crashWatch.cancel(state.sent);
-    state.releaseSlot();
+    for (const running of [...state.attempts]) stopAttempt(state, running);
+  }
+
+  /** Ends all attempts but the one whose answer goes to the caller. */
+  function stopOtherAttempts(state: RequestState, relayed: RunningAttempt): void {
+    for (const running of [...state.attempts]) {
+      if (running !== relayed) stopAttempt(state, running);
+    }
+  }
+
+  function stopAttempt(state: RequestState, running: RunningAttempt): void {
+    state.attempts.delete(running);
+    running.attempt.abort();
+    crashWatch.cancel(running.sent);
+    running.releaseSlot();
   }
 
   function drawRetryMs({ incoming }: RequestState, waitMs: number): number {
@@ -430,3 +466,8 @@
     stop: placement.stop,
   };
 }
+
+/** Returns the number of attempts in progress whose servers got the request. */
+function countSent({ attempts }: RequestState): number {
+  return [...attempts].filter(({ attempt }) => attempt.wasSent()).length;
+}
--- a/packages/gateway/test/paused-servers.test.ts
+++ b/packages/gateway/test/paused-servers.test.ts
@@ -13,7 +13,7 @@
   type Arrival,
   type Script,
 } from './backend.js';
-import { startDeployment, waitFor, type Deployment, type Reply } from './harness.js';
+import { startDeployment, waitFor, waitUntil, type Deployment, type Reply } from './harness.js';
 
 /** Length of a pause: longer than an entry waits for data before it looks for another server. */
 const PAUSE_MS = 1_300;
@@ -21,6 +21,12 @@
 const DEADLINE_HEADERS = { 'x-masticbend-deadline-ms': '1900' };
 /** Time from the start of a pause to a change of the configuration. */
 const CHANGE_DELAY_MS = 400;
+const SMALL_LIMITS = {
+  max_header_bytes: 8_192,
+  max_body_bytes: 50_000,
+  header_timeout_ms: 100,
+  idle_timeout_ms: 100,
+};
 const ANSWER = 'done';
 const EVENTS = 4;
 const STREAM = Array.from({ length: EVENTS }, (_, index) => formatEvent(index + 1)).join('');
@@ -68,13 +74,17 @@
     return deployment.call(path, { headers: DEADLINE_HEADERS });
   }
 
+  function callAgain(): Promise<Reply> {
+    return call('/again/a');
+  }
+
   afterEach(() => deployment.close());
 
   // The attempt at the only server was given up, and the request failed.
   for (const [place, answer] of Object.entries(ANSWERS)) {
     it(`end their streams after a pause ${place}`, async () => {
       await start([createPausingScript(answer)]);
-      await expectStream();
+      await checkStream();
     });
   }
 
@@ -88,8 +98,8 @@
   it('are waited for when the repeat budget is spent', async () => {
     await start([pauseCall, pauseCall], { repeatRatio: 0, repeatSlack: 0 });
     expect(await call('/again/a')).to.include({ status: 200, body: ANSWER });
-    for (const backend of deployment.backends) backend.script = pauseStream;
-    await expectStream();
+    setScript(pauseStream);
+    await checkStream();
   });
 
   /** Repeats that cannot complete the request in place of the silent attempt. */
@@ -106,44 +116,76 @@
     it(`complete streams when the repeat meets: ${name}`, async () => {
       await start([pauseStream, pauseStream]);
       replaceLaterScripts(script, pauseStream);
-      await expectStream();
+      await checkStream();
     });
   }
 
+  // Both attempts reach the caller, or neither.
+  it('do not mix their answers with those of their replacements', async () => {
+    await start([pauseStream, pauseStream]);
+    replaceLaterScripts(({ socket }) => {
+      socket.write(HEAD);
+      setTimeout(() => socket.write(formatEvents(3)), PAUSE_MS / 2);
+    }, pauseStream);
+    await checkStream();
+    const [replacement] = listArrivals().filter(isResumed);
+    await waitUntil(() => replacement!.closed);
+  });
+
+  // A server that hangs for good must not hold the request up to its deadline.
+  it('are replaced when they do not go on', async () => {
+    const hang: Script = ({ socket }) => socket.write(HEAD + formatEvents(1, 2));
+    await start([hang, hang]);
+    replaceLaterScripts(({ socket }) => socket.write(HEAD + formatEvents(3)), hang);
+    await checkStream();
+    await waitUntil(() => listArrivals().every((arrival) => isResumed(arrival) || arrival.closed));
+  });
+
+  // The second attempt went on when its caller had left.
+  it('are left by both attempts when the caller leaves', async () => {
+    await start([neverAnswer, neverAnswer]);
+    const leaving = new AbortController();
+    const reply = deployment.call('/again/a', {
+      headers: DEADLINE_HEADERS,
+      signal: leaving.signal,
+    });
+    await waitUntil(() => listArrivals().length === 2);
+    leaving.abort();
+    await reply.catch(() => undefined);
+    await waitUntil(() => listArrivals().every(({ closed }) => closed));
+  });
+
   // Several silent requests ejected the server, and nothing was sent to it any more.
   it('get requests again as soon as they go on', async () => {
     await start([pauseCall]);
-    const replies = await Promise.all(Array.from({ length: 4 }, () => call('/again/a')));
+    const replies = await Promise.all(Array.from({ length: 4 }, callAgain));
     expect(replies.map(({ status }) => status)).to.deep.equal([200, 200, 200, 200]);
-    deployment.backends[0]!.script = ({ socket }) => socket.write(formatAnswer(200, ANSWER));
+    setScript(({ socket }) => socket.write(formatAnswer(200, ANSWER)));
     expect(await call('/again/a')).to.include({ status: 200, body: ANSWER });
   });
 
   // Beside a change of the configuration the lost requests were noticed.
   for (const path of ['/again/a', '/once/a', '/resume/a', '/stream/a']) {
-    it(`complete ${path} beside changes of the configuration`, async () => {
-      const isStream = path === '/resume/a' || path === '/stream/a';
-      const script = isStream ? pauseStream : pauseCall;
-      await start([script, script]);
-      const reply = call(path);
-      await waitFor(CHANGE_DELAY_MS);
-      deployment.writeConfiguration({
-        version: 5,
-        limits: {
-          max_header_bytes: 8_192,
-          max_body_bytes: 50_000,
-          header_timeout_ms: 100,
-          idle_timeout_ms: 100,
-        },
-      });
-      await waitFor(CHANGE_DELAY_MS);
-      deployment.writeConfiguration({ version: 9, routes: [] });
-      expect(await reply).to.include({ status: 200 });
-      expect(await reply).not.to.have.property('broken');
-    });
+    it(`complete ${path} beside changes of the configuration`, () => checkChanges(path));
+  }
+
+  async function checkChanges(path: string): Promise<void> {
+    const script = path === '/resume/a' || path === '/stream/a' ? pauseStream : pauseCall;
+    await start([script, script]);
+    const reply = call(path);
+    await waitFor(CHANGE_DELAY_MS);
+    deployment.writeConfiguration({ version: 5, limits: SMALL_LIMITS });
+    await waitFor(CHANGE_DELAY_MS);
+    deployment.writeConfiguration({ version: 9, routes: [] });
+    expect(await reply).to.include({ status: 200 });
+    expect(await reply).not.to.have.property('broken');
+  }
+
+  function listArrivals(): Arrival[] {
+    return deployment.backends.flatMap(({ arrivals }) => arrivals);
   }
 
-  async function expectStream(): Promise<void> {
+  async function checkStream(): Promise<void> {
     const reply = await call('/resume/a');
     expect(reply).to.deep.include({ status: 200, body: STREAM });
     expect(reply).not.to.have.property('broken');
@@ -151,20 +193,28 @@
 
   /** Lets the first arrival at any server get one script, and all later ones another. */
   function replaceLaterScripts(later: Script, first: Script): void {
-    let arrivals = 0;
-    for (const backend of deployment.backends) {
-      backend.script = (arrival, index) => {
-        arrivals += 1;
-        (arrivals === 1 ? first : later)(arrival, index);
-      };
-    }
+    const script: Script = (arrival, index) => {
+      (listArrivals().length === 1 ? first : later)(arrival, index);
+    };
+    setScript(script);
+  }
+
+  function setScript(script: Script): void {
+    deployment.backends.forEach((backend) => {
+      backend.script = script;
+    });
   }
 });
 
-/** Returns a server's script that pauses once in each answer. */
+function isResumed({ headers }: Arrival): boolean {
+  return headers['last-event-id'] !== undefined;
+}
+
+/** Returns a server's script that pauses once in each answer; a resumed stream begins with it. */
 function createPausingScript({ before, after }: PausedAnswer): Script {
-  return ({ socket }: Arrival) => {
-    if (before) socket.write(before);
+  return ({ headers, socket }: Arrival) => {
+    const start = headers['last-event-id'] === undefined ? before : HEAD;
+    if (start) socket.write(start);
     setTimeout(() => socket.write(after), PAUSE_MS);
   };
 }
--- a/packages/gateway/test/placement.test.ts
+++ b/packages/gateway/test/placement.test.ts
@@ -98,6 +98,7 @@
     incoming: { arrivedAt: now, metadata: { promptTokens: 500, outputTokens: 100 } },
     route: ROUTE,
     service: 'engine',
+    attempts: new Set(),
     tier: 0,
     isCallerRetry: false,
     work: { promptTokens: 500, events: 20 },
--- a/packages/kernel/src/log.ts
+++ b/packages/kernel/src/log.ts
@@ -21,6 +21,8 @@
   RequestRepeated: 'request-repeated',
   RequestAbandoned: 'request-abandoned',
   AttemptFailed: 'attempt-failed',
+  AttemptSilent: 'attempt-silent',
+  AttemptResumed: 'attempt-resumed',
   ServerChanged: 'server-changed',
   ServerEjected: 'server-ejected',
   ServerCrashed: 'server-crashed',
--- a/packages/scheduling/src/server-pool.ts
+++ b/packages/scheduling/src/server-pool.ts
@@ -75,6 +75,8 @@
   recordFailure: (entry: ServerEntry) => void;
   /** The server was unreachable or did not respond; true when it is ejected now. */
   recordNoResponse: (now: number, entry: ServerEntry) => boolean;
+  /** A server that did not respond goes on: it is no longer ejected. */
+  recordResumed: (now: number, entry: ServerEntry) => void;
   /** Sets the number of requests that a peer runs on each server, 0 for servers not in the map. */
   setPeerLoad: (peer: string, running: ReadonlyMap<string, number>) => void;
   /** Running requests of this instance by server id, for servers without an agent. */
@@ -222,6 +224,10 @@
       entry.ejectedUntil = now + Math.min(MAX_EJECTION_MS, EJECTION_MS * 2 ** excessFailures);
       return true;
     },
+    recordResumed(now, entry) {
+      entry.consecutiveFailures = 0;
+      entry.ejectedUntil = Math.min(entry.ejectedUntil, now);
+    },
     setPeerLoad(peer, running) {
       if (running.size === 0) peerLoads.delete(peer);
       else peerLoads.set(peer, running);
--- a/packages/scheduling/test/repeat-budget.test.ts
+++ b/packages/scheduling/test/repeat-budget.test.ts
@@ -35,4 +35,13 @@
     const budget = createRepeatBudget(BOUND);
     expect(budget.tryTake(0, SERVICE, 6)).to.equal(true);
   });
+
+  // A request that placed a repeat and did not need it used up the budget of the others.
+  it('allows a repeat again that was returned unsent', () => {
+    const budget = createRepeatBudget({ ratio: 0, slack: 2, windowMs: 10_000 });
+    expect(budget.tryTake(0, SERVICE, 1)).to.equal(true);
+    expect(budget.tryTake(0, SERVICE, 1)).to.equal(false);
+    budget.refund(1_000, SERVICE);
+    expect(budget.tryTake(1_000, SERVICE, 1)).to.equal(true);
+  });
 });
