Soak: the relay can hold all bytes for a while

A server that falls silent sends no byte, keeps its connections open and accepts new ones, and then goes on exactly where it stopped. No mode of the relay did this: they drop bytes, or delay each. The relay now holds bytes and ends in order until it is told to go on. It can cut the next chunk in the middle, so that an answer stops inside its head or inside an event. It also reports the bytes of the connecting side, also those that are dropped, to whoever wants to know which requests were sent.

Tests: held bytes and ends, a cut chunk, connections during the hold.

--- a/packages/bench/src/soak/relay.ts
+++ b/packages/bench/src/soak/relay.ts
@@ -24,6 +24,12 @@
 export interface Relay {
   address: string;
   setMode: (mode: RelayMode) => void;
+  /**
+   * Holds all bytes until `resume`, as a process that falls silent does. With `cutsChunks`, the
+   * next chunk from the target on each connection is still forwarded up to its middle.
+   */
+  pause: (cutsChunks: boolean) => void;
+  resume: () => void;
   /** Resets every open connection. */
   resetConnections: () => void;
   /** Resets every connection and refuses new ones until `restore`, as the end of a process does. */
@@ -37,12 +43,23 @@
   inbound: Socket;
   outbound: Socket;
   isSilenced: boolean;
+  /** A chunk was cut during the present pause. */
+  isCut: boolean;
+  /** What is sent on, in this order, at the end of the pause. */
+  held: (() => void)[];
 }
 
-/** Starts a relay on a loopback address towards `target`, given as `IP:port`. */
-export async function startRelay(host: string, target: string): Promise<Relay> {
+/**
+ * Starts a relay on a loopback address towards `target`, given as `IP:port`. `onForward` is called
+ * with all bytes of the connecting sides, also with those that are dropped.
+ */
+export async function startRelay(
+  host: string,
+  target: string,
+  onForward: (bytes: Buffer) => void = () => {},
+): Promise<Relay> {
   const links = new Set<Link>();
-  const state: { mode: RelayMode } = { mode: RelayMode.Pass };
+  const state = { mode: RelayMode.Pass as RelayMode, isPaused: false, cutsChunks: false };
   const [targetHost, targetPort] = target.split(':');
 
   function relayBytes(link: Link, from: Socket, to: Socket, isForward: boolean): void {
@@ -56,9 +73,23 @@
       if (state.mode === RelayMode.Delay) setTimeout(send, DELAY_MS);
       else send();
     }
-    from.on('data', (bytes) => relay(() => to.write(bytes)));
+    function pushBytes(bytes: Buffer): void {
+      const isCut = state.isPaused && state.cutsChunks && !link.isCut && !isForward;
+      const sentBytes = isCut ? Math.floor(bytes.length / 2) : 0;
+      link.isCut ||= isCut;
+      if (sentBytes > 0) to.write(bytes.subarray(0, sentBytes));
+      push(() => to.write(bytes.subarray(sentBytes)));
+    }
+    function push(send: () => void): void {
+      if (state.isPaused) link.held.push(send);
+      else send();
+    }
+    from.on('data', (bytes) => {
+      if (isForward) onForward(bytes);
+      relay(() => pushBytes(bytes));
+    });
     from.on('error', () => to.resetAndDestroy());
-    from.on('end', () => relay(() => to.end()));
+    from.on('end', () => relay(() => push(() => to.end())));
     from.on('close', (failed) => {
       links.delete(link);
       if (failed) to.resetAndDestroy();
@@ -71,7 +102,7 @@
       return;
     }
     const outbound = connect({ host: targetHost, port: Number(targetPort), allowHalfOpen: true });
-    const link = { inbound, outbound, isSilenced: false };
+    const link = { inbound, outbound, isSilenced: false, isCut: false, held: [] };
     links.add(link);
     relayBytes(link, inbound, outbound, true);
     relayBytes(link, outbound, inbound, false);
@@ -92,6 +123,15 @@
       state.mode = mode;
       if (mode === RelayMode.Silence) for (const link of links) link.isSilenced = true;
     },
+    pause(cutsChunks) {
+      state.isPaused = true;
+      state.cutsChunks = cutsChunks;
+      for (const link of links) link.isCut = false;
+    },
+    resume() {
+      state.isPaused = false;
+      for (const { held } of links) for (const send of held.splice(0)) send();
+    },
     resetConnections,
     refuse() {
       resetConnections();
--- a/packages/bench/test/relay.test.ts
+++ b/packages/bench/test/relay.test.ts
@@ -13,6 +13,12 @@
   hasEnded: boolean;
 }
 
+function wait(durationMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+}
+
 function collect(socket: Socket): Received {
   const received: Received = { text: '', hasEnded: false };
   socket.on('data', (bytes) => {
@@ -44,9 +50,7 @@
     relay.setMode(mode);
     const [host, port] = relay.address.split(':');
     const received = collect(connect(Number(port), host));
-    await new Promise((resolve) => {
-      setTimeout(resolve, WAIT_MS);
-    });
+    await wait(WAIT_MS);
     return received;
   }
 
@@ -74,6 +78,51 @@
     expect(received).to.deep.equal({ text: TEXT, hasEnded: false });
   });
 
+  it('holds bytes and the end of a connection during a pause', async () => {
+    const received = await receive(RelayMode.Pass, (socket) => {
+      relay.pause(false);
+      return socket.end(TEXT);
+    });
+    expect(received).to.deep.equal({ text: '', hasEnded: false });
+    relay.resume();
+    await wait(WAIT_MS / 4);
+    expect(received).to.deep.equal({ text: TEXT, hasEnded: true });
+  });
+
+  it('cuts the first chunk of a pause, and goes on exactly there', async () => {
+    const received = await receive(RelayMode.Pass, (socket) => {
+      relay.pause(true);
+      socket.write(TEXT);
+      setTimeout(() => socket.end(TEXT), WAIT_MS / 4);
+      return socket;
+    });
+    expect(received).to.deep.equal({ text: TEXT.slice(0, TEXT.length / 2), hasEnded: false });
+    relay.resume();
+    await wait(WAIT_MS / 4);
+    expect(received).to.deep.equal({ text: `${TEXT}${TEXT}`, hasEnded: true });
+  });
+
+  it('accepts connections during a pause, and forwards their bytes afterwards', async () => {
+    let requestText = '';
+    await receive(RelayMode.Pass, (socket) => {
+      relay.pause(false);
+      socket.on('data', (bytes) => {
+        requestText += bytes.toString();
+      });
+      return socket;
+    });
+    const [host, port] = relay.address.split(':');
+    const client = connect(Number(port), host);
+    await once(client, 'connect');
+    client.write(TEXT);
+    await wait(WAIT_MS / 4);
+    expect(requestText).to.equal('');
+    relay.resume();
+    await wait(WAIT_MS / 4);
+    expect(requestText).to.equal(TEXT);
+    client.destroy();
+  });
+
   it('passes bytes and the end of a connection on', async () => {
     expect(await receive(RelayMode.Pass)).to.deep.equal({ text: TEXT, hasEnded: true });
   });
