Soak: servers that fall silent, planned changes beside them, and a check of lost answers

The soak had no fault that ends by itself without harm to the server, and no check that a request gets an answer at all. New faults: one engine, some or all fall silent for 0.6 to 2.5 s; new configurations with another route timeout, idle limit, quota or weights of two services; SIGHUP; a pause with one of these or a SIGTERM in it. The key is removed during a pause.

Check for all runs: each request has a complete answer or a refusal by its deadline + 0.5 s, and none is cut or ends with 502 or 504 before, unless its own engine broke off, its entry was killed or frozen, a time limit that may be in force was reached, the grace period ended while its engine was at work, or its connection ended unread. A pause, a configuration, a key, SIGHUP and the store excuse nothing. The unit tests have a kept and a violating record for each of these.

Callers wait for 1 s beyond the deadline so that late answers are seen, no longer queue for connections, and draw from the seed, as the faults and the engines do from streams of their own.

--- a/packages/bench/src/soak.ts
+++ b/packages/bench/src/soak.ts
@@ -9,7 +9,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { startCallers } from './soak/callers.js';
 import { findViolations } from './soak/checks.js';
-import { applyFault, type ActiveFault } from './soak/faults.js';
+import { applyFault, setPause, type ActiveFault } from './soak/faults.js';
 import { startSoakCluster } from './soak/cluster.js';
 
 /** API keys valid at the start; one is revoked during the run. */
@@ -56,26 +56,33 @@
   });
 }
 
+/** Returns random numbers from 0 to 1, independent of those of other streams. */
+function createDraw(seed: number, stream: number): () => number {
+  const generator = xoroshiro128plus(seed);
+  for (let jumps = 0; jumps <= stream; jumps += 1) generator.jump();
+  return () => uniformFloat32(generator);
+}
+
 async function runSeed(seed: number): Promise<boolean> {
   const { seconds, entries, engines, rate } = cli.flags;
-  const generator = xoroshiro128plus(seed);
-  const draw = () => uniformFloat32(generator);
+  const draw = createDraw(seed, 0);
+  const drawForCallers = createDraw(seed, 1);
   const drawDurationMs = ([least, most]: readonly [number, number]) =>
     least + draw() * (most - least);
-  const cluster = await startSoakCluster(seed, entries, engines, draw);
+  const cluster = await startSoakCluster(seed, entries, engines, createDraw(seed, 2));
   const keys = [...INITIAL_KEYS];
-  cluster.writeConfiguration(keys);
+  cluster.changeConfiguration({ keys: [...keys] });
   await wait(STARTUP_MS);
-  const callers = startCallers(1_000 / rate, Math.random, () => ({
-    entry: cluster.entries[Math.floor(Math.random() * entries)]!.address,
-    key: INITIAL_KEYS[Math.floor(Math.random() * INITIAL_KEYS.length)]!,
+  const callers = startCallers(1_000 / rate, drawForCallers, () => ({
+    entry: cluster.entries[Math.floor(drawForCallers() * entries)]!.address,
+    key: INITIAL_KEYS[Math.floor(drawForCallers() * INITIAL_KEYS.length)]!,
   }));
   const active = new Set<ActiveFault>();
   const faultNames: string[] = [];
   const revokedAt = new Map<string, number>();
   const endsAt = performance.now() + seconds * 1_000;
   const revokeAt = performance.now() + draw() * seconds * 1_000;
-  const limitedEngine = cluster.engines.at(-1)!;
+  const limitedEngine = cluster.engines[engines - 1]!;
   const [leastLimit, mostLimit] = LIMIT_RANGE_PER_S;
   const limitPerS = leastLimit + draw() * (mostLimit - leastLimit);
   const limitTimer = setTimeout(
@@ -88,19 +95,26 @@
 
   function removeKey(): void {
     const key = keys.pop()!;
-    cluster.writeConfiguration(keys);
+    cluster.changeConfiguration({ keys: [...keys] });
     revokedAt.set(key, performance.now());
     faultNames.push(`${key} taken away`);
   }
 
-  while (performance.now() < endsAt) {
-    if (revokedAt.size === 0 && performance.now() > revokeAt) removeKey();
-    const fault = applyFault(cluster, draw);
+  function startFault(fault: ActiveFault): void {
     faultNames.push(fault.name);
     active.add(fault);
+    const drawnMs = drawDurationMs(FAULT_DURATION_RANGE_MS);
     setTimeout(() => {
       if (active.delete(fault)) fault.undo();
-    }, drawDurationMs(FAULT_DURATION_RANGE_MS));
+    }, fault.durationMs ?? drawnMs);
+  }
+
+  while (performance.now() < endsAt) {
+    if (revokedAt.size === 0 && performance.now() > revokeAt) {
+      startFault(setPause(cluster, draw));
+      removeKey();
+    }
+    startFault(applyFault(cluster, draw));
     await wait(drawDurationMs(PAUSE_RANGE_MS));
   }
   for (const fault of active) fault.undo();
@@ -118,9 +132,11 @@
   const violations = findViolations({
     records: callers.records,
     runs,
+    rejections: cluster.engines.flatMap(({ rejections }) => rejections),
     revokedAt,
     leavingAt,
     crashes: cluster.crashes,
+    history: cluster.history,
     limited: [
       {
         id: limitedEngine.id,
--- a/packages/bench/src/soak/callers.ts
+++ b/packages/bench/src/soak/callers.ts
@@ -10,10 +10,12 @@
 } from '@masticbend/platform/ingress';
 import { CRASHING_PART } from './engine.js';
 
-/** Time a caller waits for the complete answer, in milliseconds. */
-const CALLER_TIMEOUT_MS = 3_000;
-/** Maximum number of connections of all callers to one entry. */
-const CONNECTIONS_PER_ENTRY = 8;
+/** Time limit of a request, in milliseconds. */
+export const CALLER_DEADLINE_MS = 3_000;
+/** Time for which callers wait beyond it, so that late answers are seen, in milliseconds. */
+const CALLER_PATIENCE_MS = 1_000;
+/** Maximum number of connections to one entry, so large that no request waits for one. */
+const CONNECTIONS_PER_ENTRY = 256;
 const RESUMABLE_PATH = '/resume-stream/';
 const PATHS = ['/once/', '/again/', '/stream/', RESUMABLE_PATH] as const;
 /** Fraction of requests whose prompts have the crashing part, once it is sent. */
@@ -92,14 +94,15 @@
           host: 'desk.example',
           [API_KEY_HEADER]: key,
           [REQUEST_ID_HEADER]: record.id,
-          [DEADLINE_HEADER]: String(CALLER_TIMEOUT_MS),
+          [DEADLINE_HEADER]: String(CALLER_DEADLINE_MS),
           [PREFIX_HASH_HEADER]: formatPrompt(record),
           ...(resumes !== undefined && {
             [RESUMES_HEADER]: resumes,
             [LAST_EVENT_ID_HEADER]: findLastId(before),
           }),
         },
-        signal: AbortSignal.timeout(CALLER_TIMEOUT_MS),
+        body: `order of ${record.id}`,
+        signal: AbortSignal.timeout(CALLER_DEADLINE_MS + CALLER_PATIENCE_MS),
       });
       record.status = statusCode;
       for await (const chunk of body) record.body += String(chunk);
--- a/packages/bench/src/soak/checks.ts
+++ b/packages/bench/src/soak/checks.ts
@@ -1,6 +1,8 @@
 /** Guarantees of a soak test, checked against the records of callers and backend servers. */
 import type { CallRecord } from './callers.js';
 import { formatBody, formatEvents, type Run } from './engine.js';
+import type { History } from './history.js';
+import { checkAnswered } from './lost-answers.js';
 import { BOUNDS, CRASH_RESTART_MS } from './cluster.js';
 
 /** Tolerance for event times that are read from the clock late, in milliseconds. */
@@ -25,12 +27,16 @@
 export interface Observations {
   records: readonly CallRecord[];
   runs: readonly Run[];
+  /** Ids of requests that engines refused as not run, once for each refusal. */
+  rejections: readonly string[];
   /** Times at which API keys were revoked. */
   revokedAt: ReadonlyMap<string, number>;
   /** Times at which servers reported that they are leaving, with the store reachable. */
   leavingAt: ReadonlyMap<string, number>;
   /** Times at which engines crashed under a part of a prompt. */
   crashes: readonly number[];
+  /** What was done to the processes and connections. */
+  history: History;
   /** Engines that name a limit, and when requests arrived at them while the limit must be kept. */
   limited: readonly { id: string; perSecond: number; arrivals: readonly number[] }[];
   /** Time from which all faults have ended and the system must have recovered. */
@@ -43,6 +49,9 @@
   for (const run of observed.runs) runs.set(run.request, [...(runs.get(run.request) ?? []), run]);
   return [
     ...observed.records.flatMap((record) => checkRecord(record, runs.get(record.id) ?? [])),
+    ...observed.records.flatMap((record) =>
+      checkAnswered(record, runs.get(record.id) ?? [], observed),
+    ),
     ...observed.records.flatMap((record) => checkKey(record, observed)),
     ...observed.runs.flatMap((run) => checkLeaving(run, observed)),
     ...checkBlocked(observed),
--- a/packages/bench/src/soak/cluster.ts
+++ b/packages/bench/src/soak/cluster.ts
@@ -8,13 +8,17 @@
 import { join } from 'node:path';
 import {
   registerServer,
+  SECOND_SERVICE_NAME,
   SERVICE_NAME,
   writeConfiguration,
+  type DeploymentConfiguration,
 } from '@masticbend/platform/deployment-standin';
+import { REQUEST_ID_HEADER } from '@masticbend/platform/ingress';
 import { startStoreStandIn, type StoreStandIn } from '@masticbend/platform/store-standin';
 import { reservePorts } from '@masticbend/standins/ports';
 import { ServerState } from '@masticbend/settings/routing';
 import { startEngine, type SoakEngine } from './engine.js';
+import { createHistory, recordMoment, type History } from './history.js';
 import { startRelay, type Relay } from './relay.js';
 
 /** Ports of the processes, the same on each loopback address. */
@@ -23,7 +27,7 @@
 const RESTART_DELAY_MS = 300;
 /** Interval between registrations of the backend servers, in milliseconds. */
 const REGISTRATION_INTERVAL_MS = 400;
-export const SLOTS_PER_ENGINE = 6;
+const SLOTS_PER_ENGINE = 6;
 /** Time from a crash of an engine until its next incarnation serves, in milliseconds. */
 export const CRASH_RESTART_MS = 700;
 /** Software versions of the backend servers that serve side by side. */
@@ -37,6 +41,18 @@
   leavingMs: 1_500,
 };
 
+/** Configuration without faults; the keys are set at the start. */
+export const BASE_CONFIGURATION: Readonly<DeploymentConfiguration> = {
+  keys: [],
+  slots: SLOTS_PER_ENGINE,
+  timeoutMs: 3_000,
+  idleMs: 15_000,
+  ratePerS: 0,
+  secondFraction: 0,
+};
+/** Name of a request in the bytes that an entry sends to an engine. */
+const SENT_REQUEST = new RegExp(`^${REQUEST_ID_HEADER}: (\\S+)`, 'gim');
+
 /** A process under test. */
 export interface SoakProcess {
   name: string;
@@ -57,11 +73,16 @@
   agents: SoakProcess[];
   /** Times from which servers are registered as leaving, by server id. */
   leaving: Map<string, number>;
-  writeConfiguration: (keys: readonly string[]) => void;
+  history: History;
+  /** Writes the next version of the configuration with some other values. */
+  changeConfiguration: (changes: Partial<DeploymentConfiguration>) => void;
   close: () => Promise<void>;
 }
 
-/** Starts a cluster; `seed` only names its folder, `draw` returns random numbers from 0 to 1. */
+/**
+ * Starts a cluster, the last engine of which belongs to the second service; `seed` only names its
+ * folder, `draw` returns random numbers from 0 to 1.
+ */
 export async function startSoakCluster(
   seed: number,
   entryCount: number,
@@ -72,24 +93,35 @@
   mkdirSync(folder);
   const store = await startStoreStandIn();
   const leaving = new Map<string, number>();
-  const state = { version: 0, isClosing: false };
+  const state = { version: 0, isClosing: false, configuration: BASE_CONFIGURATION };
+  const history = createHistory();
   const crashes: number[] = [];
   const engines: SoakEngine[] = [];
   const engineRelays: Relay[] = [];
-  for (let index = 0; index < engineCount; index += 1) {
+  for (let index = 0; index <= engineCount; index += 1) {
     const host = `127.0.1.${index + 1}`;
     const engine = await startEngine(`i-${index}`, host, `v${index % SOFTWARE_VERSIONS}`, draw);
     engines.push(engine);
-    const relay = await startRelay(host, engine.address);
+    const relay = await startRelay(host, engine.address, (bytes) => recordSent(engine.id, bytes));
     engineRelays.push(relay);
     engine.handlers.crash = () => restartEngine(engine, relay);
   }
 
+  function recordSent(engine: string, bytes: Buffer): void {
+    for (const [, request] of bytes.toString('latin1').matchAll(SENT_REQUEST)) {
+      history.sent.push({ request: request!, engine, at: performance.now() });
+    }
+  }
+
   /** Ends an engine and starts its next incarnation at the same address later. */
   function restartEngine(engine: SoakEngine, relay: Relay): void {
     if (!relay.isListening()) return;
     crashes.push(performance.now());
+    recordMoment(history.engineBreaks, engine.id);
+    recordMoment(history.engineRefusals, engine.id);
     relay.refuse();
+    engine.faults.isPaused = false;
+    relay.resume();
     setTimeout(() => {
       engine.bornAt += 1;
       if (!state.isClosing) relay.restore();
@@ -102,7 +134,7 @@
       registerServer(store, {
         id,
         bornAt,
-        service: SERVICE_NAME,
+        service: index === engineCount ? SECOND_SERVICE_NAME : SERVICE_NAME,
         address: engineRelays[index]!.address,
         dataCentre: `z${index % 2}`,
         slots: SLOTS_PER_ENGINE,
@@ -156,9 +188,13 @@
     entries,
     agents,
     leaving,
-    writeConfiguration(keys) {
+    history,
+    changeConfiguration(changes) {
       state.version += 1 + Math.floor(draw() * 3);
-      writeConfiguration(store, state.version, keys, SLOTS_PER_ENGINE);
+      state.configuration = { ...state.configuration, ...changes };
+      writeConfiguration(store, state.version, state.configuration);
+      const { timeoutMs } = state.configuration;
+      history.timeouts.push({ at: performance.now(), timeoutMs });
     },
     async close() {
       state.isClosing = true;
--- a/packages/bench/src/soak/engine.ts
+++ b/packages/bench/src/soak/engine.ts
@@ -32,6 +32,8 @@
   startedAt: number;
   /** Id of the event after which the run resumed the stream; 0 for a run from the start. */
   after: number;
+  /** Its stream ends within an event. */
+  isTruncated?: boolean;
   /** The request's prompt has the crashing part. */
   isCrashing: boolean;
 }
@@ -48,6 +50,8 @@
   limitPerS?: number;
   /** Streams without chunks, which end with their connection. */
   unframedFraction: number;
+  /** Running streams stop after one more event, and go on afterwards. */
+  isPaused: boolean;
 }
 
 /** A running backend server. */
@@ -58,6 +62,8 @@
   runs: Run[];
   /** Times at which requests arrived that were meant for this engine. */
   arrivals: number[];
+  /** Ids of requests that were refused as not run. */
+  rejections: string[];
   /** Start of the incarnation, as it is registered. */
   bornAt: number;
   /** Handlers set by the owner: `crash` is called when the engine crashes. */
@@ -88,6 +94,7 @@
 ): Promise<SoakEngine> {
   const runs: Run[] = [];
   const arrivals: number[] = [];
+  const rejections: string[] = [];
   const sockets = new Set<Socket>();
   const handlers = { crash: () => {} };
   const faults: EngineFaults = {
@@ -95,24 +102,34 @@
     failedFraction: 0,
     truncatedFraction: 0,
     unframedFraction: 0,
+    isPaused: false,
   };
 
   function answer(request: IncomingMessage, response: ServerResponse): void {
     const requestId = String(request.headers[REQUEST_ID_HEADER]);
     response.setHeader(REQUEST_ID_HEADER, requestId);
     if (request.headers[EXPECTED_SERVER_HEADER] !== id) {
+      rejections.push(requestId);
       response.writeHead(421).end();
       return;
     }
     arrivals.push(performance.now());
     if (faults.limitPerS !== undefined) response.setHeader(LIMIT_HEADER, faults.limitPerS);
     if (draw() < faults.refusedFraction) {
+      rejections.push(requestId);
       response.writeHead(503, { [NOT_RUN_HEADER]: '1' }).end();
       return;
     }
     const after = Number(request.headers[LAST_EVENT_ID_HEADER] ?? 0);
     const isCrashing = String(request.headers[PREFIX_HASH_HEADER]).includes(CRASHING_PART);
-    runs.push({ request: requestId, server: id, startedAt: performance.now(), after, isCrashing });
+    const run: Run = {
+      request: requestId,
+      server: id,
+      startedAt: performance.now(),
+      after,
+      isCrashing,
+    };
+    runs.push(run);
     response.setHeader(SIGNATURE_HEADER, `stamp-${id}`);
     if (isCrashing) {
       response.flushHeaders();
@@ -121,18 +138,20 @@
     }
     if (draw() < faults.failedFraction) response.writeHead(500).end('failed');
     else if (request.url!.includes('stream')) {
-      sendStream(response, String(request.headers[RESUMES_HEADER] ?? requestId), after);
+      sendStream(response, String(request.headers[RESUMES_HEADER] ?? requestId), run);
     } else setTimeout(() => response.end(formatBody(requestId)), ANSWER_DELAY_MS);
   }
 
-  function sendStream(response: ServerResponse, stream: string, after: number): void {
+  function sendStream(response: ServerResponse, stream: string, run: Run): void {
+    const { after } = run;
     if (draw() < faults.unframedFraction) response.removeHeader('transfer-encoding');
     const truncatedAfter =
       draw() < faults.truncatedFraction
         ? after + Math.floor(draw() * (EVENTS_PER_STREAM - after))
         : EVENTS_PER_STREAM;
+    run.isTruncated = truncatedAfter < EVENTS_PER_STREAM;
     const createEvent = (event: number) => formatEvent(stream, softwareVersion, event);
-    sendEvents(response, createEvent, after, truncatedAfter);
+    sendEvents(response, createEvent, after, truncatedAfter, () => faults.isPaused);
   }
 
   const server = createServer((request, response) => {
@@ -155,6 +174,7 @@
     address: `${host}:${(server.address() as AddressInfo).port}`,
     runs,
     arrivals,
+    rejections,
     faults,
     resetConnections() {
       for (const socket of sockets) socket.resetAndDestroy();
@@ -176,10 +196,15 @@
   createEvent: (id: number) => string,
   after: number,
   last: number,
+  isPaused: () => boolean,
 ): void {
   response.writeHead(200, { 'content-type': 'text/event-stream' });
   let next = after + 1;
+  let isHeld = false;
   const timer = setInterval(() => {
+    // The relay cuts or holds the first event of a pause.
+    if (isHeld && isPaused()) return;
+    isHeld = isPaused();
     const event = createEvent(next);
     if (next <= last) response.write(event);
     else {
--- a/packages/bench/src/soak/faults.ts
+++ b/packages/bench/src/soak/faults.ts
@@ -1,10 +1,13 @@
 /** Faults of the soak test, drawn from the seed. They may overlap; the caller undoes each one. */
 import { RelayMode } from './relay.js';
-import type { SoakProcess, SoakCluster } from './cluster.js';
+import { BASE_CONFIGURATION, type SoakProcess, type SoakCluster } from './cluster.js';
+import { recordMoment, startSpan } from './history.js';
 
 /** A fault in effect. */
 export interface ActiveFault {
   name: string;
+  /** How long it lasts, in milliseconds; drawn by the caller if it is missing. */
+  durationMs?: number;
   undo: () => void;
 }
 
@@ -21,6 +24,15 @@
 /** Kills that follow the first one of a series, and the time between them in milliseconds. */
 const REPEATED_KILLS = 3;
 const KILL_INTERVAL_MS = 250;
+/** Duration of a pause of engines, in milliseconds. */
+const PAUSE_DURATION_RANGE_MS = [600, 2_500] as const;
+/** Values of a changed configuration. */
+const CHANGED_VALUE_RANGES = {
+  timeoutMs: [1_500, 4_000],
+  idleMs: [1_000, 10_000],
+  ratePerS: [5, 100],
+  secondFraction: [0, 1],
+} as const;
 
 const RELAY_FAULT_MODES = [
   RelayMode.Delay,
@@ -41,8 +53,15 @@
   dropStoreHistory,
   setGreyFailure,
   setTruncation,
+  sendReload,
+  applyConfiguration,
+  setPause,
+  setPauseDuringChange,
 ];
 
+/** Planned changes, which must not cost a request its answer while engines are silent. */
+const PLANNED_CHANGES: readonly ApplyFault[] = [applyConfiguration, stopGracefully, sendReload];
+
 /** Applies a randomly drawn kind of fault. */
 export function applyFault(cluster: SoakCluster, draw: Draw): ActiveFault {
   return FAULTS[Math.floor(draw() * FAULTS.length)]!(cluster, draw);
@@ -51,7 +70,9 @@
 function killProcesses(cluster: SoakCluster, draw: Draw): ActiveFault {
   const chosen = listProcesses(cluster).filter(() => draw() < 0.5);
   const kill = (repetition: number) => {
-    for (const { child } of chosen) child.kill('SIGKILL');
+    for (const { child, address } of chosen) {
+      if (child.kill('SIGKILL')) recordMoment(cluster.history.entryOutages, address);
+    }
     return repetition < REPEATED_KILLS
       ? setTimeout(() => kill(repetition + 1), KILL_INTERVAL_MS)
       : undefined;
@@ -63,13 +84,22 @@
 function stopGracefully(cluster: SoakCluster, draw: Draw): ActiveFault {
   const chosen = chooseOne(listProcesses(cluster), draw);
   chosen.child.kill('SIGTERM');
+  recordMoment(cluster.history.entryStops, chosen.address);
   return { name: `stop ${chosen.name}`, undo: () => undefined };
 }
 
 function stopTemporarily(cluster: SoakCluster, draw: Draw): ActiveFault {
-  const { name, child } = chooseOne(listProcesses(cluster), draw);
+  const { name, child, address } = chooseOne(listProcesses(cluster), draw);
   child.kill('SIGSTOP');
-  return { name: `freeze ${name}`, undo: () => child.kill('SIGCONT') };
+  const endOutage = startSpan(cluster.history.entryOutages, address);
+  child.once('exit', endOutage);
+  return {
+    name: `freeze ${name}`,
+    undo() {
+      child.kill('SIGCONT');
+      endOutage();
+    },
+  };
 }
 
 function setStoreRelayModes(cluster: SoakCluster, draw: Draw): ActiveFault {
@@ -92,11 +122,17 @@
   const relay = cluster.engineRelays[index]!;
   const mode = chooseOne(RELAY_FAULT_MODES, draw);
   relay.setMode(mode);
+  const { engineBreaks, engineRefusals } = cluster.history;
+  const { id } = cluster.engines[index]!;
+  const endBreak = startSpan(engineBreaks, id);
+  const endRefusal = mode === RelayMode.Refuse ? startSpan(engineRefusals, id) : undefined;
   return {
     name: `engine ${index} ${mode}`,
     undo() {
       relay.setMode(RelayMode.Pass);
       relay.resetConnections();
+      endBreak();
+      endRefusal?.();
     },
   };
 }
@@ -104,6 +140,7 @@
 function resetEngineConnections(cluster: SoakCluster, draw: Draw): ActiveFault {
   const engine = chooseOne(cluster.engines, draw);
   engine.resetConnections();
+  recordMoment(cluster.history.engineBreaks, engine.id);
   return { name: `connections of ${engine.id} reset`, undo: () => undefined };
 }
 
@@ -154,6 +191,70 @@
   };
 }
 
+function sendReload({ entries }: SoakCluster, draw: Draw): ActiveFault {
+  const { name, child } = chooseOne(entries, draw);
+  child.kill('SIGHUP');
+  return { name: `reload ${name}`, undo: () => undefined };
+}
+
+function applyConfiguration(cluster: SoakCluster, draw: Draw): ActiveFault {
+  const fields = Object.keys(CHANGED_VALUE_RANGES) as (keyof typeof CHANGED_VALUE_RANGES)[];
+  const field = chooseOne(fields, draw);
+  const value = Number(drawBetween(CHANGED_VALUE_RANGES[field], draw).toFixed(2));
+  cluster.changeConfiguration({ [field]: value });
+  return {
+    name: `${field} ${value}`,
+    undo: () => cluster.changeConfiguration({ [field]: BASE_CONFIGURATION[field] }),
+  };
+}
+
+/** Lets one engine, some or all fall silent; they go on by themselves. */
+export function setPause(cluster: SoakCluster, draw: Draw): ActiveFault {
+  const { engines, engineRelays } = cluster;
+  const fraction = chooseOne([0, 0.5, 1], draw);
+  const always = Math.floor(draw() * engines.length);
+  const chosen = engines.flatMap((engine, index) =>
+    index === always || draw() < fraction ? [{ engine, relay: engineRelays[index]! }] : [],
+  );
+  const cutsChunks = draw() < 0.5;
+  for (const { engine, relay } of chosen) {
+    engine.faults.isPaused = true;
+    relay.pause(cutsChunks);
+  }
+  return {
+    name: `pause ${chosen.map(({ engine }) => engine.id).join(' ')}`,
+    durationMs: drawBetween(PAUSE_DURATION_RANGE_MS, draw),
+    undo() {
+      for (const { engine, relay } of chosen) {
+        engine.faults.isPaused = false;
+        relay.resume();
+      }
+    },
+  };
+}
+
+function setPauseDuringChange(cluster: SoakCluster, draw: Draw): ActiveFault {
+  const pause = setPause(cluster, draw);
+  const applyChange = chooseOne(PLANNED_CHANGES, draw);
+  let change: ActiveFault | undefined;
+  const timer = setTimeout(() => {
+    change = applyChange(cluster, draw);
+  }, draw() * pause.durationMs!);
+  return {
+    name: `${pause.name} with ${applyChange.name}`,
+    durationMs: pause.durationMs,
+    undo() {
+      clearTimeout(timer);
+      pause.undo();
+      change?.undo();
+    },
+  };
+}
+
+function drawBetween([least, most]: readonly [number, number], draw: Draw): number {
+  return least + draw() * (most - least);
+}
+
 function listProcesses(cluster: SoakCluster): SoakProcess[] {
   return [...cluster.entries, ...cluster.agents];
 }
--- /dev/null
+++ b/packages/bench/src/soak/history.ts
@@ -0,0 +1,58 @@
+/** What the soak test did to the processes and connections, for the checks. */
+
+/** A time from `performance.now()` to another, which is Infinity while the span lasts. */
+export interface Span {
+  /** Address of an entry, or id of an engine. */
+  name: string;
+  from: number;
+  to: number;
+}
+
+/** A request that an entry sent to an engine, as seen between the two. */
+export interface SentRequest {
+  request: string;
+  engine: string;
+  at: number;
+}
+
+/** Everything that was done during a run. */
+export interface History {
+  /** Entries were killed, or frozen for some time. */
+  entryOutages: Span[];
+  /** Times at which entries got SIGTERM. */
+  entryStops: Span[];
+  /** Engines crashed, their connections were reset, or their links were harmed. */
+  engineBreaks: Span[];
+  /** Engines reset connections that were just opened; requests on these are not in `sent`. */
+  engineRefusals: Span[];
+  sent: SentRequest[];
+  /** Timeouts of the routes in the configurations, and when they were written. */
+  timeouts: { at: number; timeoutMs: number }[];
+}
+
+/** Returns an empty history. */
+export function createHistory(): History {
+  return {
+    entryOutages: [],
+    entryStops: [],
+    engineBreaks: [],
+    engineRefusals: [],
+    sent: [],
+    timeouts: [],
+  };
+}
+
+/** Records a moment. */
+export function recordMoment(spans: Span[], name: string): void {
+  const at = performance.now();
+  spans.push({ name, from: at, to: at });
+}
+
+/** Records the start of a span; the returned function records its end, once. */
+export function startSpan(spans: Span[], name: string): () => void {
+  const span = { name, from: performance.now(), to: Infinity };
+  spans.push(span);
+  return () => {
+    span.to = Math.min(span.to, performance.now());
+  };
+}
--- a/packages/bench/test/soak-checks.test.ts
+++ b/packages/bench/test/soak-checks.test.ts
@@ -3,16 +3,34 @@
 import { findViolations, type Observations } from '@masticbend/bench/soak/checks';
 import type { CallRecord } from '@masticbend/bench/soak/callers';
 import type { Run } from '@masticbend/bench/soak/engine';
+import { createHistory, type History } from '@masticbend/bench/soak/history';
 
 const NOTHING: Observations = {
   records: [],
   runs: [],
+  rejections: [],
   revokedAt: new Map(),
   leavingAt: new Map(),
   crashes: [],
   limited: [],
-  faultFreeFrom: 0,
+  history: createHistory(),
+  faultFreeFrom: Infinity,
 };
+const SERVED_CALL: CallRecord = {
+  id: 'r0',
+  path: '/again/',
+  isCrashing: false,
+  key: 'key-a',
+  entry: 'entry-0',
+  sentAt: 10_000,
+  endedAt: 10_050,
+  status: 200,
+  body: 'answer to r0',
+  interrupted: false,
+  before: '',
+};
+const LOST_CALL = { ...SERVED_CALL, endedAt: 11_000, status: 0, body: '', interrupted: true };
+const FAILED_CALL = { ...SERVED_CALL, endedAt: 11_000, status: 502, body: '' };
 
 function createRuns(times: readonly number[]): Run[] {
   return times.map((startedAt, index) => ({
@@ -28,29 +46,24 @@
   it('allow three runs with a part 3 s after the fifth crash under it', () => {
     const crashes = [1, 2, 3, 4, 5];
     const late = [3_006, 3_007, 3_008];
-    const allowed = { ...NOTHING, crashes, runs: createRuns([10, 20, ...late]) };
+    const allowed = { ...NOTHING, crashes, faultFreeFrom: 0, runs: createRuns([10, 20, ...late]) };
     expect(findViolations(allowed)).to.deep.equal([]);
     const runs = createRuns([...late, 3_009]);
-    expect(findViolations({ ...NOTHING, crashes, runs })).to.have.length(1);
-    expect(findViolations({ ...NOTHING, crashes: [1, 2, 3, 4], runs })).to.deep.equal([]);
+    expect(findViolations({ ...allowed, runs })).to.have.length(1);
+    expect(findViolations({ ...allowed, crashes: [1, 2, 3, 4], runs })).to.deep.equal([]);
   });
 
   it('require that requests are served unless an engine crashes meanwhile', () => {
     const createCalls = (sentAt: number): CallRecord[] =>
       Array.from({ length: 10 }, (_, index) => ({
+        ...SERVED_CALL,
         id: `r${index}`,
-        path: '/again/',
-        isCrashing: false,
-        key: 'key-a',
-        entry: 'entry-0',
         sentAt,
         endedAt: sentAt + 50,
         status: 503,
         body: '',
-        interrupted: false,
-        before: '',
       }));
-    const observed = { ...NOTHING, crashes: [1_000] };
+    const observed = { ...NOTHING, crashes: [1_000], faultFreeFrom: 0 };
     expect(findViolations({ ...observed, records: createCalls(980) })).to.deep.equal([]);
     expect(findViolations({ ...observed, records: createCalls(900) })).to.have.length(1);
     expect(findViolations({ ...observed, records: createCalls(2_000) })).to.have.length(1);
@@ -65,4 +78,84 @@
       findViolations({ ...NOTHING, limited: [{ id: 'i-0', perSecond: 1, arrivals: burst }] }),
     ).to.have.length(1);
   });
+
+  function checkCall(record: CallRecord, history: Partial<History> = {}): string[] {
+    const sent = [{ request: 'r0', engine: 'i-0', at: 10_010 }];
+    return findViolations({
+      ...NOTHING,
+      records: [record],
+      history: { ...createHistory(), sent, ...history },
+    });
+  }
+
+  // An entry gave up silent engines, and ended requests for which there was no other one.
+  it('require an answer or a refusal from each entry whose engine is sound', () => {
+    expect(checkCall(SERVED_CALL)).to.deep.equal([]);
+    expect(checkCall({ ...LOST_CALL, status: 503, interrupted: false })).to.deep.equal([]);
+    expect(checkCall(LOST_CALL)).to.have.length(1);
+    expect(checkCall(FAILED_CALL)).to.have.length(1);
+    expect(checkCall({ ...FAILED_CALL, status: 504 })).to.have.length(1);
+    expect(checkCall({ ...LOST_CALL, status: 200, body: 'answer' })).to.have.length(1);
+  });
+
+  it('require answers by the deadline, whatever an engine does', () => {
+    const late = { ...SERVED_CALL, endedAt: 13_600 };
+    expect(checkCall({ ...SERVED_CALL, endedAt: 13_400 })).to.deep.equal([]);
+    expect(checkCall(late)).to.have.length(1);
+    const engineBreaks = [{ name: 'i-0', from: 10_500, to: 10_500 }];
+    expect(checkCall(late, { engineBreaks })).to.have.length(1);
+    const entryOutages = [{ name: 'entry-0', from: 10_500, to: 12_000 }];
+    expect(checkCall(late, { entryOutages })).to.deep.equal([]);
+  });
+
+  it('excuse an answer that its own engine broke off', () => {
+    const at = (name: string, from: number) => ({ engineBreaks: [{ name, from, to: from }] });
+    expect(checkCall(LOST_CALL, at('i-0', 10_990))).to.deep.equal([]);
+    expect(checkCall(LOST_CALL, at('i-0', 10_005))).to.have.length(1);
+    expect(checkCall(LOST_CALL, at('i-0', 11_200))).to.have.length(1);
+    expect(checkCall(LOST_CALL, at('i-1', 10_990))).to.have.length(1);
+    const [run] = createRuns([10_020]).map((each) => ({ ...each, isCrashing: false }));
+    const observed = { ...NOTHING, records: [FAILED_CALL] };
+    const isTruncated = true;
+    expect(findViolations({ ...observed, runs: [{ ...run!, isTruncated }] })).to.deep.equal([]);
+    expect(findViolations({ ...observed, runs: [run!] })).to.have.length(1);
+  });
+
+  it('excuse an answer of an entry that was killed or frozen meanwhile', () => {
+    const outage = (name: string, from: number, to: number) => ({
+      entryOutages: [{ name, from, to }],
+    });
+    expect(checkCall(LOST_CALL, outage('entry-0', 10_500, 10_500))).to.deep.equal([]);
+    expect(checkCall(LOST_CALL, outage('entry-0', 9_000, Infinity))).to.deep.equal([]);
+    expect(checkCall(LOST_CALL, outage('entry-0', 9_000, 9_900))).to.have.length(1);
+    expect(checkCall(LOST_CALL, outage('entry-1', 10_500, 10_500))).to.have.length(1);
+  });
+
+  it('excuse only a connection that ends at once, before its request is sent to an engine', () => {
+    const crossed = { ...LOST_CALL, endedAt: 10_100 };
+    expect(checkCall(crossed, { sent: [] })).to.deep.equal([]);
+    expect(checkCall(crossed)).to.have.length(1);
+    expect(checkCall({ ...crossed, endedAt: 10_300 }, { sent: [] })).to.have.length(1);
+  });
+
+  it('excuse a reset of a new connection, unless the request was sent to a sound engine', () => {
+    const engineRefusals = [{ name: 'i-1', from: 10_900, to: 10_900 }];
+    expect(checkCall(FAILED_CALL, { engineRefusals, sent: [] })).to.deep.equal([]);
+    expect(checkCall(FAILED_CALL, { engineRefusals })).to.have.length(1);
+    const sent = [{ request: 'r0', engine: 'i-0', at: 10_010 }];
+    const history = { ...createHistory(), engineRefusals, sent };
+    const observed = { ...NOTHING, history, records: [FAILED_CALL] };
+    expect(findViolations({ ...observed, rejections: ['r0'] })).to.deep.equal([]);
+    expect(findViolations({ ...observed, rejections: ['r1'] })).to.have.length(1);
+  });
+
+  it('excuse a loss at a time limit that may be in force, or at the end of the grace period', () => {
+    const timeouts = (at: number) => ({ timeouts: [{ at, timeoutMs: 1_000 }] });
+    expect(checkCall(LOST_CALL, timeouts(10_500))).to.deep.equal([]);
+    expect(checkCall(LOST_CALL, timeouts(11_500))).to.have.length(1);
+    const stops = (at: number) => ({ entryStops: [{ name: 'entry-0', from: at, to: at }] });
+    expect(checkCall(LOST_CALL, stops(7_500))).to.deep.equal([]);
+    expect(checkCall(LOST_CALL, stops(8_500))).to.have.length(1);
+    expect(checkCall(LOST_CALL, stops(6_500))).to.have.length(1);
+  });
 });
