Failing test: a stream runs at two servers that both work

A resumable stream whose server falls silent goes on at another server. When the first server then sends part of an event, its silence is over, but nothing reaches the caller, and both attempts go on for as long as neither completes an event. The test finds both connections open 400 ms after the first server has gone on.

--- a/packages/gateway/test/paused-servers.test.ts
+++ b/packages/gateway/test/paused-servers.test.ts
@@ -21,6 +21,10 @@
 const DEADLINE_HEADERS = { 'x-masticbend-deadline-ms': '1900' };
 /** Time from the start of a pause to a change of the configuration. */
 const CHANGE_DELAY_MS = 400;
+/** Time without data after which a stream of the test route is also sent to another server. */
+const RESUME_INACTIVITY_MS = 1_000;
+/** Longest time for which a stream may run at two servers that are both known to work. */
+const MAX_OVERLAP_MS = 400;
 const SMALL_LIMITS = {
   max_header_bytes: 8_192,
   max_body_bytes: 50_000,
@@ -141,6 +145,24 @@
     await waitUntil(() => listArrivals().every((arrival) => isResumed(arrival) || arrival.closed));
   });
 
+  // A stream was generated at two servers at the same time, long after the first one had gone on.
+  it('share a stream with their replacements only until they go on', async () => {
+    await start([pauseStream, pauseStream]);
+    replaceLaterScripts(
+      ({ socket }) => socket.write(HEAD),
+      ({ socket }) => {
+        socket.write(HEAD + formatEvents(1, 2));
+        const part = formatChunk(formatEvent(3).slice(0, PARTIAL_EVENT_BYTES));
+        setTimeout(() => socket.write(part), PAUSE_MS);
+      },
+    );
+    const reply = call('/resume/a');
+    await waitUntil(() => listArrivals().length === 2);
+    await waitFor(PAUSE_MS - RESUME_INACTIVITY_MS + MAX_OVERLAP_MS);
+    expect(listArrivals().filter(({ closed }) => !closed)).to.have.length(1);
+    await reply;
+  });
+
   // The second attempt went on when its caller had left.
   it('are left by both attempts when the caller leaves', async () => {
     await start([neverAnswer, neverAnswer]);
