Failing test: a replacement that cannot be reached costs another silence

Where the server of a request hangs and the connection to its replacement is refused, nothing was sent to the second server, but a third one is placed only at the next silence of the first: the answer comes after two silences instead of one.

--- a/packages/gateway/test/paused-servers.test.ts
+++ b/packages/gateway/test/paused-servers.test.ts
@@ -23,6 +23,8 @@
 const CHANGE_DELAY_MS = 400;
 /** Time without data after which a stream of the test route is also sent to another server. */
 const RESUME_INACTIVITY_MS = 1_000;
+/** Time without data after which a call of the test route is also sent to another server. */
+const CALL_INACTIVITY_MS = 750;
 /** Longest time for which a stream may run at two servers that are both known to work. */
 const MAX_OVERLAP_MS = 400;
 const SMALL_LIMITS = {
@@ -64,6 +66,7 @@
 const reset: Script = ({ socket }) => socket.resetAndDestroy();
 const fail: Script = ({ socket }) => socket.write(formatAnswer(500, 'failed'));
 const neverAnswer: Script = () => undefined;
+const answerAtOnce: Script = ({ socket }) => socket.write(formatAnswer(200, ANSWER));
 const pauseCall = createPausingScript({ before: '', after: formatAnswer(200, ANSWER) });
 const pauseStream = createPausingScript(ANSWERS['between two events']!);
 
@@ -163,6 +166,17 @@
     await reply;
   });
 
+  // Another server was tried only after one more silence.
+  it('are replaced at once by a third server where the second refuses connections', async () => {
+    await start([neverAnswer, answerAtOnce, answerAtOnce]);
+    await deployment.backends[1]!.close();
+    deployment.writeServer(2, { zone: 'z2' });
+    await waitFor(CHANGE_DELAY_MS);
+    const startedAt = performance.now();
+    expect(await call('/again/a')).to.include({ status: 200, body: ANSWER });
+    expect(performance.now() - startedAt).to.be.below(2 * CALL_INACTIVITY_MS);
+  });
+
   // The second attempt went on when its caller had left.
   it('are left by both attempts when the caller leaves', async () => {
     await start([neverAnswer, neverAnswer]);
