Failing test: a third attempt is never made while two servers hang

At most two attempts of a request are in progress at the same time. With two servers that hang for good, the third attempt that the route allows is never made, and the request ends with 504 at its deadline although a third server is sound.

--- a/packages/gateway/test/paused-servers.test.ts
+++ b/packages/gateway/test/paused-servers.test.ts
@@ -13,7 +13,14 @@
   type Arrival,
   type Script,
 } from './backend.js';
-import { startDeployment, waitFor, waitUntil, type Deployment, type Reply } from './harness.js';
+import {
+  HOST,
+  startDeployment,
+  waitFor,
+  waitUntil,
+  type Deployment,
+  type Reply,
+} from './harness.js';
 
 /** Length of a pause: longer than an entry waits for data before it looks for another server. */
 const PAUSE_MS = 1_300;
@@ -27,6 +34,17 @@
 const CALL_INACTIVITY_MS = 750;
 /** Longest time for which a stream may run at two servers that are both known to work. */
 const MAX_OVERLAP_MS = 400;
+const THREE_ATTEMPTS_ROUTE = {
+  name: 'three',
+  host: HOST,
+  prefix: '/three/',
+  route_kind: 'idempotent',
+  service: 'plain',
+  anonymous: true,
+  max_attempts: 3,
+  timeout_ms: 4_000,
+  slo_ms: 200,
+};
 const SMALL_LIMITS = {
   max_header_bytes: 8_192,
   max_body_bytes: 50_000,
@@ -177,6 +195,19 @@
     expect(performance.now() - startedAt).to.be.below(2 * CALL_INACTIVITY_MS);
   });
 
+  // The third attempt of a route was never made while two servers hung.
+  it('are replaced as often as the route allows', async () => {
+    await start([answerAtOnce, answerAtOnce, answerAtOnce]);
+    deployment.writeConfiguration({ version: 5, routes: [THREE_ATTEMPTS_ROUTE] });
+    await waitUntil(async () => (await call('/three/a')).status === 200);
+    const previous = listArrivals().length;
+    setScript((arrival, index) => {
+      if (listArrivals().length === previous + 3) answerAtOnce(arrival, index);
+    });
+    const headers = { 'x-masticbend-deadline-ms': '3500' };
+    expect(await deployment.call('/three/a', { headers })).to.include({ status: 200 });
+  });
+
   // The second attempt went on when its caller had left.
   it('are left by both attempts when the caller leaves', async () => {
     await start([neverAnswer, neverAnswer]);
