Failing test: a server's failure is delivered after the deadline

Where the second server answers with a failure while the first hangs, the failure is kept for the case that the first one goes on. It is delivered 40 ms after the caller's deadline, when the caller has given up.

--- a/packages/gateway/test/paused-servers.test.ts
+++ b/packages/gateway/test/paused-servers.test.ts
@@ -25,7 +25,8 @@
 /** Length of a pause: longer than an entry waits for data before it looks for another server. */
 const PAUSE_MS = 1_300;
 /** Deadline of the requests, which leaves time for one pause. */
-const DEADLINE_HEADERS = { 'x-masticbend-deadline-ms': '1900' };
+const DEADLINE_MS = 1_900;
+const DEADLINE_HEADERS = { 'x-masticbend-deadline-ms': String(DEADLINE_MS) };
 /** Time from the start of a pause to a change of the configuration. */
 const CHANGE_DELAY_MS = 400;
 /** Time without data after which a stream of the test route is also sent to another server. */
@@ -208,6 +209,15 @@
     expect(await deployment.call('/three/a', { headers })).to.include({ status: 200 });
   });
 
+  // The failure of the replacement was kept until the caller had given up.
+  it('do not hold back the failure of their replacements beyond the deadline', async () => {
+    await start([neverAnswer, neverAnswer]);
+    replaceLaterScripts(fail, neverAnswer);
+    const startedAt = performance.now();
+    expect(await call('/again/a')).to.include({ status: 500 });
+    expect(performance.now() - startedAt).to.be.below(DEADLINE_MS);
+  });
+
   // The second attempt went on when its caller had left.
   it('are left by both attempts when the caller leaves', async () => {
     await start([neverAnswer, neverAnswer]);
