Failing test: a server that went on is used although it misdirects

Since a server that goes on after a silence is no longer ejected, an answer on an older connection ends that exclusion as well, which has another reason than silence.

--- a/packages/gateway/test/answers.test.ts
+++ b/packages/gateway/test/answers.test.ts
@@ -135,6 +135,21 @@
     await waitUntil(async () => (await deployment.call('/once/a')).status === 200);
   });
 
+  // The exclusion ended when an older request to the same server went on after a silence.
+  it('exclude a misdirecting server also after an older request to it has gone on', async () => {
+    const misdirect: Script = ({ socket }) => socket.write(formatAnswer(421, 'other'));
+    await start((arrival, index) => {
+      if (index === 0) setTimeout(() => answerOk(arrival, index), 1_200);
+      else misdirect(arrival, index);
+    });
+    const older = deployment.call('/again/a');
+    await waitFor(900);
+    expect((await deployment.call('/once/a')).status).to.equal(503);
+    expect((await older).status).to.equal(200);
+    expect((await deployment.call('/once/a')).status).to.equal(503);
+    expect(countArrivals()).to.equal(2);
+  });
+
   it('never deliver an answer that belongs to another request or has no server stamp', async () => {
     await start(({ socket }) =>
       socket.write(formatAnswer(200, 'other', ['X-Masticbend-Attempt-Id: b2'])),
