Failing test: a refund allows more repeats than the bound

A repeat that was taken and not sent is taken off the latest interval with repeats, not off the one in which it was taken. Once that older interval has left the window, a repeat that was sent is counted nowhere: three are allowed within 3.1 s where the bound allows two in 10 s. The test gives the time of the refund only; a fix needs the time at which the repeat was taken.

--- a/packages/scheduling/test/repeat-budget.test.ts
+++ b/packages/scheduling/test/repeat-budget.test.ts
@@ -44,4 +44,14 @@
     budget.refund(1_000, SERVICE);
     expect(budget.tryTake(1_000, SERVICE, 1)).to.equal(true);
   });
+
+  // The refund of an old repeat was taken off a later one, and the bound was exceeded after it.
+  it('takes the refund of a repeat off the interval in which it was taken', () => {
+    const budget = createRepeatBudget({ ratio: 0, slack: 2.6, windowMs: 10_000 });
+    expect(budget.tryTake(0, SERVICE, 1)).to.equal(true);
+    expect(budget.tryTake(9_000, SERVICE, 1)).to.equal(true);
+    budget.refund(9_500, SERVICE);
+    expect(budget.tryTake(12_000, SERVICE, 1)).to.equal(true);
+    expect(budget.tryTake(12_100, SERVICE, 1)).to.equal(false);
+  });
 });
