A repeat is refunded in the interval in which it was taken

Found by a review: a repeat that was taken and not sent was taken off the latest interval with repeats. When the older interval left the window, a repeat that had been sent was counted nowhere, and three were allowed in 3.1 s where the bound allows two in 10 s. A request now keeps the time at which its repeat was taken, and the refund goes to that interval.

--- a/packages/gateway/src/dispatch.ts
+++ b/packages/gateway/src/dispatch.ts
@@ -87,7 +87,7 @@
       {
         onSent() {
           state.sentCount += 1;
-          state.hasRepeat = false;
+          state.repeatTakenAt = undefined;
           state.firstSentAt ??= clock.now();
         },
         onNotice: (notice) => options.onNotice(entry, notice),
--- a/packages/gateway/src/request-state.ts
+++ b/packages/gateway/src/request-state.ts
@@ -99,9 +99,9 @@
   /** Number of attempts that may have run. */
   possibleRuns: number;
   lastEventId?: string;
-  /** A repeat was taken from the budget and not sent yet. */
-  hasRepeat: boolean;
-  /** One attempt, or a silent one and that which may replace it. */
+  /** Time at which a repeat was taken from the budget; undefined once it is sent. */
+  repeatTakenAt?: number;
+  /** One attempt, or silent ones and that which may replace them. */
   attempts: Set<RunningAttempt>;
   /** A failure answered by a backend server, delivered if no repeat succeeds. */
   fallback?: Extract<AttemptResult, { kind: 'answer' }>;
@@ -155,7 +155,6 @@
     firstSentAt: undefined,
     firstByteAt: undefined,
     lastFailureReason: '',
-    hasRepeat: false,
     attempts: new Set(),
     stopDeadlineTimer: () => {},
   };
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -297,8 +297,10 @@
   function tryTakeRepeat(state: RequestState): boolean {
     const now = clock.now();
     if (!isRepeatAllowed(now, state)) return false;
-    state.hasRepeat ||= repeatBudget.tryTake(now, state.service, options.countInstances());
-    return state.hasRepeat;
+    if (state.repeatTakenAt !== undefined) return true;
+    if (!repeatBudget.tryTake(now, state.service, options.countInstances())) return false;
+    state.repeatTakenAt = now;
+    return true;
   }
 
   /** Ends the placement of a request, and the request unless an attempt is still in progress. */
@@ -397,7 +399,8 @@
   function finish(state: RequestState, outcome: string, isLogged = true): void {
     state.stopDeadlineTimer();
     placement.withdraw(state);
-    if (state.hasRepeat) repeatBudget.refund(clock.now(), state.service);
+    const { repeatTakenAt, service } = state;
+    if (repeatTakenAt !== undefined) repeatBudget.refund(repeatTakenAt, service);
     openRequests.delete(state.id);
     if (isLogged) requestLog.writeFinished(state, outcome);
     options.recordOutcome(describeOutcome(clock.now(), state, outcome));
--- a/packages/scheduling/src/repeat-budget.ts
+++ b/packages/scheduling/src/repeat-budget.ts
@@ -25,8 +25,8 @@
   recordRequest: (now: number, service: string) => void;
   /** Takes one repeat; false when the budget is spent. The slack is divided by `instances`. */
   tryTake: (now: number, service: string, instances: number) => boolean;
-  /** Returns a repeat that was taken and not sent. */
-  refund: (now: number, service: string) => void;
+  /** Returns a repeat that was taken at `takenAt` and not sent. */
+  refund: (takenAt: number, service: string) => void;
 }
 
 interface Interval {
@@ -70,9 +70,9 @@
       interval.repeats += 1;
       return true;
     },
-    refund(now, service) {
-      const { intervals } = findInterval(now, service);
-      const taken = intervals.filter(({ repeats }) => repeats > 0).at(-1);
+    refund(takenAt, service) {
+      const index = Math.floor(takenAt / intervalMs);
+      const taken = services.get(service)?.find((interval) => interval.index === index);
       if (taken) taken.repeats -= 1;
     },
   };
