The exclusion of a misdirecting or full server is kept apart from its ejection

Found by a review: a server that went on after a silence was no longer ejected, and this also ended the 8 s for which it is excluded after it answered as misdirected. Both had one field; now each has its own. The failing test (exclude a misdirecting server also after an older request to it has gone on) passes.

--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -280,7 +280,7 @@
     } else if (result.kind === 'not-run') {
       state.lastFailureReason = `not run, status ${result.status}`;
       const pauseMs = isMisdirected(result.status) ? MISDIRECTED_PAUSE_MS : FULL_SERVER_PAUSE_MS;
-      entry.ejectedUntil = Math.max(entry.ejectedUntil, now + pauseMs);
+      entry.excludedUntil = Math.max(entry.excludedUntil, now + pauseMs);
     } else if (result.kind !== 'delivered') {
       state.lastFailureReason = result.reason;
       if (result.kind === 'broken') {
--- a/packages/scheduling/src/server-entry.ts
+++ b/packages/scheduling/src/server-entry.ts
@@ -40,6 +40,8 @@
   /** Consecutive calls without a response. */
   consecutiveFailures: number;
   ejectedUntil: number;
+  /** End of the exclusion after a request that the server did not run. */
+  excludedUntil: number;
   /** The server said that it is leaving; its registration may not show it yet. */
   isLeaving: boolean;
   /** End of the pause that the server asked this instance for, and of those it asked peers for. */
@@ -51,13 +53,14 @@
 
 /** Returns whether the server may get new requests. */
 export function isUsable(now: number, entry: ServerEntry): boolean {
-  return !isGoing(entry) && entry.ejectedUntil <= now && entry.pausedUntil <= now;
+  const { ejectedUntil, excludedUntil, pausedUntil } = entry;
+  return !isGoing(entry) && Math.max(ejectedUntil, excludedUntil, pausedUntil) <= now;
 }
 
 /** Returns when a server that asked for a pause may be used again; undefined for any other. */
 export function findPauseEnd(now: number, entry: ServerEntry): number | undefined {
   if (isGoing(entry) || entry.pausedUntil <= now) return undefined;
-  return Math.max(entry.pausedUntil, entry.ejectedUntil);
+  return Math.max(entry.pausedUntil, entry.ejectedUntil, entry.excludedUntil);
 }
 
 /** Returns whether the server is leaving, by its registration or by its own answers. */
@@ -85,6 +88,7 @@
     failureRate: 0,
     consecutiveFailures: 0,
     ejectedUntil: 0,
+    excludedUntil: 0,
     isLeaving: false,
     pausedUntil: 0,
     peerPausedUntil: 0,
