Silent attempts: replaced as often as the route allows, and no stream runs at two working servers

A server that goes on now keeps the stream, and the other attempt ends. - With two servers that hang, the third attempt of a route was never made. As many attempts as the route allows may be in progress while all before are silent. - A replacement that could not be reached cost another silence. A further one is placed at once. - The failure that a server answered was kept until after the deadline. It is delivered once the silent attempts have been silent for a second time and no further one may follow.

--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -125,6 +125,8 @@
     placement,
     requestLog,
     tryTakeRepeat,
+    stopOtherAttempts,
+    finishWithFallback,
   });
   const dispatch = createDispatch({
     ...options,
@@ -251,9 +253,10 @@
     }
     recordFailedAttempt(state, entry, result);
     if (refuseBlocked(state)) return;
-    // Another attempt goes on, or is being placed already.
-    if (state.attempts.size > 0 || state.isPlacing) return;
-    if (result.kind === 'unsent') {
+    if (state.isPlacing) return;
+    if (state.attempts.size > 0) {
+      silentAttempts.tryPlaceRepeat(state);
+    } else if (result.kind === 'unsent') {
       placement.place(state);
     } else if (tryTakeRepeat(state)) {
       requestLog.writeRepeated(state, entry);
@@ -320,14 +323,16 @@
    */
   function finishUnserved(state: RequestState, refusal: Failure, unknown: Failure): void {
     const { fallback, delivery } = state;
-    if (state.possibleRuns === 0) {
-      refuse(state, refusal);
-    } else if (fallback && !delivery.hasBegun()) {
-      delivery.answer(fallback.status, fallback.headers, fallback.body);
-      finish(state, String(fallback.status));
-    } else {
-      fail(state, unknown);
-    }
+    if (state.possibleRuns === 0) refuse(state, refusal);
+    else if (fallback && !delivery.hasBegun()) finishWithFallback(state);
+    else fail(state, unknown);
+  }
+
+  function finishWithFallback(state: RequestState): void {
+    const { status, headers, body } = state.fallback!;
+    stopAttempts(state);
+    state.delivery.answer(status, headers, body);
+    finish(state, String(status));
   }
 
   /** Returns the part for which a request is refused, unless it may be sent to try that part. */
--- a/packages/gateway/src/silent-attempts.ts
+++ b/packages/gateway/src/silent-attempts.ts
@@ -9,9 +9,6 @@
 import type { RequestLog } from './request-log.js';
 import type { RequestState, RunningAttempt } from './request-state.js';
 
-/** Attempts of one request that may be in progress at the same time. */
-const MAX_PARALLEL_ATTEMPTS = 2;
-
 /** Dependencies. */
 export interface SilentAttemptsOptions {
   clock: Clock;
@@ -20,27 +17,32 @@
   requestLog: Pick<RequestLog, 'writeSilent' | 'writeResumed' | 'writeEjected'>;
   /** Takes a repeat for a request from the budget; false where it may not be repeated. */
   tryTakeRepeat: (state: RequestState) => boolean;
+  /** Ends the attempts of a request but one. */
+  stopOtherAttempts: (state: RequestState, kept: RunningAttempt) => void;
+  /** Ends a request with the failure that one of its servers answered. */
+  finishWithFallback: (state: RequestState) => void;
 }
 
 /** Handlers of the attempts' events. */
 export interface SilentAttempts {
   handleSilent: (state: RequestState, running: RunningAttempt) => void;
   handleResumed: (state: RequestState, running: RunningAttempt) => void;
+  /** Places another attempt beside those in progress if all of them are silent. */
+  tryPlaceRepeat: (state: RequestState) => boolean;
 }
 
 /** Returns the handlers. */
 export function createSilentAttempts(options: SilentAttemptsOptions): SilentAttempts {
-  const { clock, serverPool, placement, requestLog, tryTakeRepeat } = options;
+  const { clock, serverPool, placement, requestLog } = options;
 
   function recordSilence({ entry }: RunningAttempt): void {
     const now = clock.now();
     if (serverPool.recordNoResponse(now, entry)) requestLog.writeEjected(entry, 'silent', now);
   }
 
-  /** Places another attempt; it is tried again at the next silence where no server can be found. */
   function tryPlaceRepeat(state: RequestState): boolean {
-    if (state.isPlacing || state.attempts.size >= MAX_PARALLEL_ATTEMPTS) return false;
-    if (!tryTakeRepeat(state)) return false;
+    if (state.isPlacing || !hasOnlySilent(state) || !options.tryTakeRepeat(state)) return false;
+    // Agents that refused an earlier permit request may have capacity now.
     state.triedServers = new Set(state.sentServers);
     state.permitRequests = 0;
     placement.place(state);
@@ -54,12 +56,21 @@
       if (isNew) recordSilence(running);
       const isRepeated = tryPlaceRepeat(state);
       if (isNew || isRepeated) requestLog.writeSilent(state, running.entry, isRepeated);
+      const mayEnd = !isNew && !state.isPlacing && hasOnlySilent(state);
+      if (mayEnd && state.fallback && !state.delivery.hasBegun()) options.finishWithFallback(state);
     },
     handleResumed(state, running) {
       running.isSilent = false;
       serverPool.recordResumed(clock.now(), running.entry);
       if (state.isPlacing) placement.withdraw(state);
       requestLog.writeResumed(state, running.entry);
+      // A stream must not run at two servers that both work.
+      if (state.route.streamed) options.stopOtherAttempts(state, running);
     },
+    tryPlaceRepeat,
   };
 }
+
+function hasOnlySilent({ attempts }: RequestState): boolean {
+  return [...attempts].every(({ isSilent }) => isSilent);
+}
