Test of pauses beside changes: each configuration is in force while the request waits

The test wrote two configurations during a pause and did not wait for them. It now waits for each of three versions, with other limits, without accounts, and without routes and services, and requires that all are in force before the server goes on.

--- a/packages/gateway/test/paused-servers.test.ts
+++ b/packages/gateway/test/paused-servers.test.ts
@@ -27,7 +27,9 @@
 /** Deadline of the requests, which leaves time for one pause. */
 const DEADLINE_MS = 1_900;
 const DEADLINE_HEADERS = { 'x-masticbend-deadline-ms': String(DEADLINE_MS) };
-/** Time from the start of a pause to a change of the configuration. */
+/** Bound of the entry's reads of the configuration, so that several are applied in one pause. */
+const FAST_CONFIGURATION_MS = 200;
+/** Time in which a changed registration of a server is read. */
 const CHANGE_DELAY_MS = 400;
 /** Time without data after which a stream of the test route is also sent to another server. */
 const RESUME_INACTIVITY_MS = 1_000;
@@ -248,16 +250,27 @@
 
   async function checkChanges(path: string): Promise<void> {
     const script = path === '/resume/a' || path === '/stream/a' ? pauseStream : pauseCall;
-    await start([script, script]);
+    await start([script, script], { configurationMs: FAST_CONFIGURATION_MS });
     const reply = call(path);
-    await waitFor(CHANGE_DELAY_MS);
-    deployment.writeConfiguration({ version: 5, limits: SMALL_LIMITS });
-    await waitFor(CHANGE_DELAY_MS);
-    deployment.writeConfiguration({ version: 9, routes: [] });
+    await waitUntil(() => listArrivals().length === 1);
+    const sentAt = performance.now();
+    await applyChanges(5, { limits: SMALL_LIMITS });
+    await applyChanges(7, { limits: SMALL_LIMITS, tenants: [] });
+    await applyChanges(9, { limits: SMALL_LIMITS, tenants: [], routes: [], services: [] });
+    expect(performance.now() - sentAt).to.be.below(PAUSE_MS);
     expect(await reply).to.include({ status: 200 });
     expect(await reply).not.to.have.property('broken');
   }
 
+  /** Writes a configuration and waits until it is in force. */
+  async function applyChanges(version: number, changes: object): Promise<void> {
+    deployment.writeConfiguration({ version, ...changes });
+    await waitUntil(() => {
+      const { view } = deployment.gateway.dump() as { view: { version: number } };
+      return view.version === version;
+    });
+  }
+
   function listArrivals(): Arrival[] {
     return deployment.backends.flatMap(({ arrivals }) => arrivals);
   }
