SIGHUP while the settings file is missing no longer ends the process

Found by a review of lost requests: the file was read without a catch, so that a signal in the moment in which the file is replaced ended the process with all its open requests. The fault is logged, and the process goes on with the settings of its start. program.test.ts: exit code 1 before, still running now.

--- a/packages/gateway/src/program.ts
+++ b/packages/gateway/src/program.ts
@@ -78,10 +78,22 @@
   process.on('SIGTERM', () => {
     runnable.stop().then(() => finish(0), fail);
   });
-  process.on('SIGHUP', () => {
+  process.on('SIGHUP', () => reportSettings(path, parseSettings, log));
+  runnable.start().catch(fail);
+}
+
+/** Checks the settings file again; the process goes on with the settings of its start. */
+function reportSettings<Settings>(
+  path: string,
+  parseSettings: ParseSettings<Settings>,
+  log: Logger,
+): void {
+  try {
     const result = parseSettings(readFileSync(path, 'utf8'));
     if (result.ok) log.info(LogEvent.SettingsReloaded, { path });
     else log.error(LogEvent.SettingsReloaded, { path, fault: result.faults[0] });
-  });
-  runnable.start().catch(fail);
+  } catch (error) {
+    // The file may be missing for a moment while it is replaced.
+    log.error(LogEvent.SettingsReloaded, { path, fault: (error as Error).message });
+  }
 }
