Log the identity of requests that lose their connection

`attempt-failed` has a digest of method, host, path with query, client account, prompt and body now where the server's connection was lost. It is computed only then.

--- a/packages/gateway/src/request-log.ts
+++ b/packages/gateway/src/request-log.ts
@@ -4,7 +4,7 @@
 import type { Failure } from '@masticbend/protocol/error';
 import { countHeld, estimateFirstMs, type ServerEntry } from '@masticbend/scheduling/server-entry';
 import type { AttemptResult, StreamTrace } from './attempt.js';
-import type { IncomingRequest, RequestState } from './request-state.js';
+import { getDigest, type IncomingRequest, type RequestState } from './request-state.js';
 
 const MAX_LOGGED_PARTS = 12;
 
@@ -69,6 +69,7 @@
         reason: state.lastFailureReason,
         begun: state.delivery.hasBegun(),
         prompt: describePrompt(state),
+        digest: result.kind === 'broken' && result.isConnectionLost ? getDigest(state) : undefined,
         ...('stream' in result && describeStream(result.stream)),
       });
     },
--- a/packages/gateway/src/request-state.ts
+++ b/packages/gateway/src/request-state.ts
@@ -1,6 +1,7 @@
 /** State of a request in one entry, from its arrival to its final answer. */
 import type { RequestMetadata } from '@masticbend/platform/ingress';
 import { listSharedParts } from '@masticbend/scheduling/prompt-parts';
+import { hashRequest } from '@masticbend/scheduling/request-digest';
 import { chooseService } from '@masticbend/scheduling/gateway-route';
 import type { PlacedWork, ServerEntry } from '@masticbend/scheduling/server-entry';
 import type { StreamOrigin } from '@masticbend/scheduling/stream-origins';
@@ -65,6 +66,8 @@
   work: PlacedWork;
   /** Shared parts of its prompt, by which it may be blocked. */
   parts: readonly string[];
+  /** Identity of the whole request; undefined until `getDigest` is first called. */
+  digest?: string;
   /** Admitted with a blocked part, to find out whether it still crashes servers. */
   isTrial: boolean;
   /** Units taken from the account's limit. */
@@ -160,6 +163,21 @@
   };
 }
 
+/** Returns the identity of a whole request, which takes time in proportion to its body. */
+export function getDigest(state: RequestState): string {
+  const { incoming, route, account } = state;
+  const { method, target, metadata, body } = incoming;
+  state.digest ??= hashRequest({
+    method,
+    host: route.host,
+    target,
+    account: account?.name ?? '',
+    prompt: metadata.prompt,
+    body,
+  });
+  return state.digest;
+}
+
 /** Describes a request that has received its final answer. */
 export function describeOutcome(
   now: number,
--- /dev/null
+++ b/packages/scheduling/src/request-digest.ts
@@ -0,0 +1,33 @@
+/**
+ * Identity of a whole request: what a backend server runs, whichever attempt brings it to whichever
+ * instance. Headers that differ between attempts, such as the attempt id or the time left, do not
+ * belong to it. The client account does, so that no account can harm the requests of another.
+ */
+import { createHash } from 'node:crypto';
+
+/** Characters of a digest: 128 bits. */
+const DIGEST_CHARACTERS = 32;
+
+/** What belongs to the identity of a request. */
+export interface RequestIdentity {
+  method: string;
+  host: string;
+  /** Path with query. */
+  target: string;
+  /** Name of the client account; empty for an anonymous caller. */
+  account: string;
+  /** Parts of the prompt, which are named apart from the body. */
+  prompt: readonly { id: string }[];
+  body: Buffer;
+}
+
+/** Returns the digest of a request's identity. */
+export function hashRequest(identity: RequestIdentity): string {
+  const { method, host, target, account, prompt, body } = identity;
+  const head = JSON.stringify([method, host, target, account, ...prompt.map(({ id }) => id)]);
+  return createHash('sha256')
+    .update(`${head}\n`)
+    .update(body)
+    .digest('hex')
+    .slice(0, DIGEST_CHARACTERS);
+}
