--- a/packages/gateway/test/backend.ts
+++ b/packages/gateway/test/backend.ts
@@ -20,13 +20,25 @@
   address: string;
   arrivals: Arrival[];
   script: Script;
+  /** Ends all connections, and goes on listening. */
+  disconnect: () => void;
   close: () => Promise<void>;
 }
 
-export async function startBackend(script: Script, host = '127.0.0.1'): Promise<ScriptedBackend> {
+/** Starts a server; port 0 stands for any free one. */
+export async function startBackend(
+  script: Script,
+  host = '127.0.0.1',
+  port = 0,
+): Promise<ScriptedBackend> {
   const sockets = new Set<Socket>();
   const arrivals: Arrival[] = [];
   const state = { script };
+
+  function closeSockets(): void {
+    for (const socket of sockets) socket.destroy();
+  }
+
   const server = createServer((socket) => {
     let text = '';
     sockets.add(socket);
@@ -47,7 +59,7 @@
     });
   });
   await new Promise<void>((resolve) => {
-    server.listen(0, host, resolve);
+    server.listen(port, host, resolve);
   });
   return {
     address: `${host}:${(server.address() as AddressInfo).port}`,
@@ -58,8 +70,9 @@
     set script(next) {
       state.script = next;
     },
+    disconnect: closeSockets,
     close() {
-      for (const socket of sockets) socket.destroy();
+      closeSockets();
       return new Promise((resolve) => {
         server.close(() => resolve());
       });
