Stop whole requests that crash one server after the other

Callers of one service saw their requests lost with its servers: 12 servers ended in each of two series, under one request that came back with new attempt ids at any entry, 7 and 6 sends after those that are allowed.

Cause: the evidence of crashes knew only the shared parts of prompts. A call has none, so that the watch ignored its loss (`parts.length === 0`), and nothing related one attempt to the next, at this entry or another. The class is that of the crashing prompts: evidence spread over processes that none of them collects.

Change: a whole request is a further suspect in the same evidence, exchange, store, trial and refusal, by the digest of method, host, path with query, account, prompt and body. The digest is computed only when a connection is lost or while any request is suspected. What differs, since nothing else shares a whole request: other suspects never explain its crashes, each loss counts however far the answer was, a complete answer clears it, attempts in progress go on, and the pause between trials grows fortyfold with each trial, also with one whose end is unknown.

With it: - An entry does not repeat a request after two crashes, certain or not. - A server is probed for 3 s after a loss and counts as crashed also when another incarnation has replaced it or another entry has found it crashed. - Trials go round the entries, 250 ms each: requests that reach one entry alone could never be tried by the entry whose turn it was. - Messages are collected and bounded, requests and parts are kept apart in the bounds.

--- a/packages/gateway/src/crash-watch.ts
+++ b/packages/gateway/src/crash-watch.ts
@@ -1,7 +1,7 @@
 /**
- * Relates crashed backend servers to the prompts of the requests that were lost with them, and
- * shares this evidence with the other entries. A lost connection counts as a crash only once the
- * server refuses a new one.
+ * Relates crashed backend servers to the requests that were lost with them, by the parts of their
+ * prompts and by their digests, and shares this evidence with the other entries. A lost connection
+ * counts as a crash only once the server refuses a new one, or another incarnation has replaced it.
  */
 import type { Clock } from '@masticbend/kernel/clock';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
@@ -10,51 +10,77 @@
   createCrashEvidence,
   SETTLING_MS,
   type CrashEvidence,
-  type PartEvidence,
+  type SuspectEvidence,
 } from '@masticbend/scheduling/crash-evidence';
+import { formatRequestSuspect, isRequestSuspect } from '@masticbend/scheduling/request-digest';
 import { rankNames } from '@masticbend/scheduling/rendezvous';
+import { isGoing, type ServerEntry } from '@masticbend/scheduling/server-entry';
 import type { BackendServer } from '@masticbend/settings/routing';
+import { createCrashOutbox, readMessage } from './crash-outbox.js';
 
 /** Time for which an answer must go on after its first output to show that its prompt is sound. */
 const SOUND_MS = 500;
-/** Parts of one crash that are recorded; beyond it a random choice. */
-const MAX_PARTS_PER_CRASH = 64;
-/** Blocked parts that are kept in the store. */
-const MAX_STORED_PARTS = 8;
+/** Suspects of each kind of one crash that are recorded; beyond it a random choice. */
+const MAX_SUSPECTS_PER_CRASH = 64;
+/** Blocked suspects of each kind that are kept in the store. */
+const MAX_STORED_SUSPECTS = 8;
+/**
+ * Time after which the next entry may try a suspect, since its requests may not reach the one whose
+ * turn it is: longer than a trial takes to become known.
+ */
+const TRIAL_TURN_MS = 250;
+/** Times after a lost connection at which the server is dialled, unless it was found to crash. */
+const PROBE_AFTER_MS = [0, 250, 1_000, 3_000];
+/** Crashes of a request, with those that are not certain yet, after which it is not repeated. */
+const MAX_CRASHES_BEFORE_REPEAT = 1;
 
-/** An attempt of a request at a backend server. */
-export interface SentRequest {
-  server: BackendServer;
+/** A request by which it may be suspected. */
+export interface SuspectedRequest {
   /** Shared parts of its prompt. */
   parts: readonly string[];
+  /** Returns the digest of the whole request; it is computed at the first call. */
+  getDigest: () => string;
+}
+
+/** An attempt of a request at a backend server. */
+export interface SentRequest extends SuspectedRequest {
+  server: BackendServer;
   /** Time of the first output; undefined before it. */
   outputAt?: number;
 }
 
 /** Evidence of one entry, as the request handling uses it. */
 export interface CrashWatch {
-  /** Returns the part for which a request must not be sent. */
-  findBlocked: (parts: readonly string[]) => string | undefined;
-  /** Returns whether this entry may send one request with a blocked part, to try it. */
-  isTrialDue: (part: string) => boolean;
-  /** Records that a request with a blocked part is sent to try it. */
-  recordTrial: (part: string) => void;
+  /** Returns the suspect for which a request must not be sent. */
+  findBlocked: (request: SuspectedRequest) => string | undefined;
+  /** Returns whether this entry may send one request with a blocked suspect, to try it. */
+  isTrialDue: (suspect: string) => boolean;
+  /** Records that a request with a blocked suspect is sent to try it. */
+  recordTrial: (suspect: string) => void;
+  /** Returns whether a request that was lost may be sent again without its caller asking for it. */
+  isRepeatSafe: (request: SuspectedRequest) => boolean;
   /** The first output of a request has arrived. */
   recordOutput: (request: SentRequest) => void;
+  /** A request has got a complete answer that reports success. */
+  recordAnswer: (request: SentRequest) => void;
   /** The connection on which a request was sent has broken. */
   recordLoss: (request: SentRequest) => void;
-  /** The entry or the caller has ended an attempt, which shows nothing about its prompt. */
+  /** The entry or the caller has ended an attempt, which shows nothing about the request. */
   cancel: (request: SentRequest) => void;
   receive: (peer: string, message: CrashEvidenceMessage) => void;
   /** Sends all evidence to a peer that has connected. */
   sendAll: (peer: string) => void;
-  /** The blocked parts to be kept in the store, and what was read there. */
-  listStored: () => PartEvidence[];
-  addStored: (evidence: readonly PartEvidence[]) => void;
+  /** The blocked suspects to be kept in the store, and what was read there. */
+  listStored: () => SuspectEvidence[];
+  addStored: (evidence: readonly SuspectEvidence[]) => void;
   stop: () => void;
   dump: () => unknown;
 }
 
+/** What is registered of an incarnation of a server. */
+export const Registration = { Serving: 'serving', Leaving: 'leaving', Gone: 'gone' } as const;
+export type Registration = (typeof Registration)[keyof typeof Registration];
+
 /** Dependencies of the watch. */
 export interface CrashWatchOptions {
   self: string;
@@ -63,13 +89,13 @@
   drawRandom: () => number;
   /** Calls `onResult` with whether the server refuses connections. */
   probe: (server: BackendServer, onResult: (isRefused: boolean) => void) => void;
-  /** Returns whether the server was expected to end. */
-  isLeaving: (server: BackendServer) => boolean;
+  /** A server that leaves is expected to end. */
+  getRegistration: (server: BackendServer) => Registration;
   listLive: () => string[];
   send: (peer: string, message: CrashEvidenceMessage) => void;
   /** Requests whose answers have begun and not ended. */
   listAnswering: () => SentRequest[];
-  /** Called when a part is blocked that was not. */
+  /** Called when a suspect is blocked that was not. */
   onBlocked: () => void;
 }
 
@@ -77,12 +103,14 @@
 export function createCrashWatch(options: CrashWatchOptions): CrashWatch {
   const { self, clock, log, drawRandom, listLive, send, listAnswering } = options;
   const evidence: CrashEvidence = createCrashEvidence();
-  /** Parts of the lost requests of each server that is being probed. */
-  const lostParts = new Map<string, Set<string>>();
+  /** Suspects of the lost requests of each server that is being probed. */
+  const lostSuspects = new Map<string, Set<string>>();
   const stopTimers = new Set<() => void>();
   /** Answers that are being watched for soundness. */
   const watched = new Set<SentRequest>();
-  let blockedParts: ReadonlySet<string> = new Set();
+  let blockedSuspects: ReadonlySet<string> = new Set();
+
+  const outbox = createCrashOutbox({ evidence, listLive, send, startTimer });
 
   function startTimer(delayMs: number, run: () => void): void {
     const stopTimer = clock.startTimer(delayMs, () => {
@@ -92,10 +120,10 @@
     stopTimers.add(stopTimer);
   }
 
-  function sendToPeers(changed: readonly PartEvidence[]): void {
-    if (changed.length === 0) return;
-    const message = createMessage(changed);
-    for (const peer of listLive()) send(peer, message);
+  /** Lists what a request may be suspected by; whole requests are few, so most need no digest. */
+  function listSuspects({ parts, getDigest }: SuspectedRequest): readonly string[] {
+    if (!evidence.hasSuspectedRequests(clock.now())) return parts;
+    return [...parts, formatRequestSuspect(getDigest())];
   }
 
   /** Applies new evidence once it counts; it may refute other evidence at once. */
@@ -104,18 +132,18 @@
     checkAnswers();
   }
 
-  /** Logs the parts that are blocked now, or no longer, and reports new ones. */
+  /** Logs the suspects that are blocked now, or no longer, and reports new ones. */
   function updateBlocked(source: string): void {
     const blocked = evidence.listBlocked(clock.now());
-    const previous = blockedParts;
-    blockedParts = new Set(blocked.map(({ part }) => part));
-    const added = blocked.filter(({ part }) => !previous.has(part));
-    for (const { part, crashes, refuted } of added) {
+    const previous = blockedSuspects;
+    blockedSuspects = new Set(blocked.map(({ suspect }) => suspect));
+    const added = blocked.filter(({ suspect }) => !previous.has(suspect));
+    for (const { suspect, crashes, refuted } of added) {
       const open = crashes.filter((crash) => !refuted.includes(crash));
-      log.warn(LogEvent.PromptBlocked, { part, crashes: open.join(), source });
+      log.warn(LogEvent.SuspectBlocked, { suspect, crashes: open.join(), source });
     }
-    for (const part of previous) {
-      if (!blockedParts.has(part)) log.info(LogEvent.PromptUnblocked, { part, source });
+    for (const suspect of previous) {
+      if (!blockedSuspects.has(suspect)) log.info(LogEvent.SuspectUnblocked, { suspect, source });
     }
     if (added.length > 0) options.onBlocked();
   }
@@ -127,7 +155,7 @@
 
   function startWatch(request: SentRequest): void {
     const { parts, outputAt } = request;
-    if (outputAt === undefined || !parts.some(evidence.isSuspected)) return;
+    if (outputAt === undefined || !parts.some(isSuspected)) return;
     if (watched.has(request)) return;
     watched.add(request);
     const leftMs = Math.max(0, outputAt + SOUND_MS - clock.now());
@@ -136,68 +164,119 @@
 
   function finishWatch(request: SentRequest): void {
     if (!watched.delete(request) || evidence.hasCrash(formatCrash(request.server))) return;
-    sendToPeers(evidence.addSound(clock.now(), request.parts));
+    outbox.add(evidence.addSound(clock.now(), request.parts));
     updateBlocked('sound answer');
   }
 
-  function recordCrash(server: BackendServer, parts: Set<string>): void {
+  function isSuspected(suspect: string): boolean {
+    return evidence.countCrashes(suspect) > 0;
+  }
+
+  function recordCrash(server: BackendServer, lost: ReadonlySet<string>): void {
     const crash = formatCrash(server);
-    const selected = selectParts(parts);
-    const changed = evidence.addCrash(clock.now(), crash, selected);
+    const parts = [...lost].filter((suspect) => !isRequestSuspect(suspect));
+    const requests = [...lost].filter(isRequestSuspect);
+    const suspects = [...selectSuspects(parts), ...selectSuspects(requests)];
+    const changed = evidence.addCrash(clock.now(), crash, suspects);
     if (changed.length === 0) return;
-    log.warn(LogEvent.ServerCrashed, { server: crash, parts: selected.join(), of: parts.size });
-    sendToPeers(changed);
+    log.warn(LogEvent.ServerCrashed, { server: crash, suspects: suspects.join(), of: lost.size });
+    outbox.add(changed);
     applyEvidence(crash);
   }
 
-  /** Prefers parts that are suspected already; the others are chosen at random. */
-  function selectParts(parts: ReadonlySet<string>): string[] {
-    const ranked = [...parts].map((part) => {
-      const rank = evidence.isSuspected(part) ? -1 : drawRandom();
-      return { part, rank };
+  /** Prefers what is suspected already; the others are chosen at random. */
+  function selectSuspects(suspects: readonly string[]): string[] {
+    const ranked = suspects.map((suspect) => {
+      const rank = isSuspected(suspect) ? -1 : drawRandom();
+      return { suspect, rank };
     });
     ranked.sort((left, right) => left.rank - right.rank);
-    return ranked.slice(0, MAX_PARTS_PER_CRASH).map(({ part }) => part);
+    return ranked.slice(0, MAX_SUSPECTS_PER_CRASH).map(({ suspect }) => suspect);
   }
 
-  function startProbe(server: BackendServer): Set<string> {
+  /**
+   * Probes a server until it is known to have crashed, by this entry or another, or the probes are
+   * used up: its connections may end before its address does, and another incarnation may already
+   * accept connections there.
+   */
+  function probeServer(server: BackendServer, lost: Set<string>, round = 0): void {
     const crash = formatCrash(server);
-    const parts = new Set<string>();
-    lostParts.set(crash, parts);
     options.probe(server, (isRefused) => {
-      lostParts.delete(crash);
-      if (isRefused) recordCrash(server, parts);
+      const registration = options.getRegistration(server);
+      if (isRefused || registration === Registration.Gone || evidence.hasCrash(crash)) {
+        lostSuspects.delete(crash);
+        recordCrash(server, lost);
+        return;
+      }
+      const [afterMs, nextMs] = PROBE_AFTER_MS.slice(round, round + 2);
+      if (nextMs === undefined || registration === Registration.Leaving) {
+        lostSuspects.delete(crash);
+        return;
+      }
+      startTimer(nextMs - afterMs!, () => probeServer(server, lost, round + 1));
     });
-    return parts;
+  }
+
+  function findLost(server: BackendServer): Set<string> {
+    const crash = formatCrash(server);
+    let lost = lostSuspects.get(crash);
+    if (!lost) {
+      lost = new Set();
+      lostSuspects.set(crash, lost);
+      probeServer(server, lost);
+    }
+    return lost;
   }
 
   return {
-    findBlocked: (parts) => evidence.findBlocked(clock.now(), parts),
-    isTrialDue: (part) =>
-      evidence.isTrialDue(clock.now(), part) && rankNames(part, [self, ...listLive()])[0] === self,
-    recordTrial(part) {
-      log.info(LogEvent.PromptTried, { part });
-      sendToPeers(evidence.addTrial(clock.now(), part));
+    findBlocked: (request) => evidence.findBlocked(clock.now(), listSuspects(request)),
+    isTrialDue(suspect) {
+      const turn = rankNames(suspect, [self, ...listLive()]).indexOf(self);
+      return evidence.isTrialDue(clock.now() - turn * TRIAL_TURN_MS, suspect);
+    },
+    recordTrial(suspect) {
+      log.info(LogEvent.SuspectTried, { suspect });
+      outbox.add(evidence.addTrial(clock.now(), suspect));
+    },
+    isRepeatSafe({ getDigest }) {
+      if (lostSuspects.size === 0 && !evidence.hasSuspectedRequests(clock.now())) return true;
+      const suspect = formatRequestSuspect(getDigest());
+      const uncertain = [...lostSuspects.values()].filter((lost) => lost.has(suspect)).length;
+      return evidence.countCrashes(suspect) + uncertain <= MAX_CRASHES_BEFORE_REPEAT;
     },
     recordOutput: startWatch,
+    recordAnswer(request) {
+      if (!evidence.hasSuspectedRequests(clock.now())) return;
+      const suspect = formatRequestSuspect(request.getDigest());
+      if (!isSuspected(suspect)) return;
+      // An answer that ends with its connection may have been cut off by a crash.
+      options.probe(request.server, (isRefused) => {
+        if (isRefused) return;
+        outbox.add(evidence.addSound(clock.now(), [suspect]));
+        updateBlocked('sound answer');
+      });
+    },
     cancel: (request) => watched.delete(request),
     recordLoss(request) {
-      const { server, parts, outputAt } = request;
+      const { server, parts, outputAt, getDigest } = request;
       watched.delete(request);
-      const isSound = outputAt !== undefined && clock.now() - outputAt >= SOUND_MS;
-      if (isSound || parts.length === 0 || options.isLeaving(server)) return;
-      const lost = lostParts.get(formatCrash(server)) ?? startProbe(server);
+      if (options.getRegistration(server) !== Registration.Serving) return;
+      const lost = findLost(server);
+      lost.add(formatRequestSuspect(getDigest()));
+      if (outputAt !== undefined && clock.now() - outputAt >= SOUND_MS) return;
       for (const part of parts) lost.add(part);
     },
     receive(peer, message) {
       evidence.merge(clock.now(), readMessage(message));
       applyEvidence(peer);
     },
-    sendAll(peer) {
-      const all = evidence.list();
-      if (all.length > 0) send(peer, createMessage(all));
+    sendAll: outbox.sendAll,
+    listStored() {
+      const blocked = evidence.listBlocked(clock.now());
+      const requests = blocked.filter(({ suspect }) => isRequestSuspect(suspect));
+      const parts = blocked.filter(({ suspect }) => !isRequestSuspect(suspect));
+      return [...parts.slice(-MAX_STORED_SUSPECTS), ...requests.slice(-MAX_STORED_SUSPECTS)];
     },
-    listStored: () => evidence.listBlocked(clock.now()).slice(-MAX_STORED_PARTS),
     addStored(stored) {
       if (stored.length === 0) return;
       evidence.merge(clock.now() - SETTLING_MS, stored);
@@ -210,30 +289,13 @@
   };
 }
 
+/** Returns what is registered of an incarnation; another one at the same name has replaced it. */
+export function getRegistration(entry: ServerEntry | undefined, bornAt: number): Registration {
+  if (entry?.server.bornAt !== bornAt) return Registration.Gone;
+  return isGoing(entry) ? Registration.Leaving : Registration.Serving;
+}
+
 /** Names an incarnation of a server. */
 function formatCrash({ id, bornAt }: BackendServer): string {
   return `${id}@${bornAt}`;
 }
-
-function createMessage(evidence: readonly PartEvidence[]): CrashEvidenceMessage {
-  return {
-    kind: 'crash-evidence',
-    parts: evidence.map(({ part }) => part),
-    crashes: evidence.map(({ crashes }) => crashes.join(' ')),
-    refuted: evidence.map(({ refuted }) => refuted.join(' ')),
-    trials: evidence.map(({ trials }) => trials),
-  };
-}
-
-function readMessage({ parts, crashes, refuted, trials }: CrashEvidenceMessage): PartEvidence[] {
-  return parts.map((part, index) => ({
-    part,
-    crashes: parseNames(crashes[index]),
-    refuted: parseNames(refuted[index]),
-    trials: trials[index] ?? 0,
-  }));
-}
-
-function parseNames(text = ''): string[] {
-  return text.split(' ').filter((name) => name !== '');
-}
--- a/packages/gateway/src/dispatch.ts
+++ b/packages/gateway/src/dispatch.ts
@@ -8,6 +8,7 @@
 import type { BackendServer, ServerNotice } from '@masticbend/settings/routing';
 import { startAttempt, type AttemptResult } from './attempt.js';
 import type { BackendClient } from './backend-client.js';
+import { describeSuspected } from './crash-guard.js';
 import type { CrashWatch, SentRequest } from './crash-watch.js';
 import type { PermitClient } from './permit-client.js';
 import type { RequestState, RunningAttempt } from './request-state.js';
@@ -19,7 +20,7 @@
   client: BackendClient;
   serverPool: ServerPool;
   permits: Pick<PermitClient, 'findLoad' | 'reportFirstOutput' | 'release' | 'addRunning'>;
-  crashWatch: Pick<CrashWatch, 'recordOutput' | 'recordLoss'>;
+  crashWatch: Pick<CrashWatch, 'recordOutput' | 'recordAnswer' | 'recordLoss'>;
   /** Called with what a backend server says about itself in an answer. */
   onNotice: (entry: ServerEntry, notice: ServerNotice) => void;
   /** Called when the caller gets the first event of a stream from a server. */
@@ -63,7 +64,7 @@
     const { incoming, delivery, route, account } = state;
     const { server } = entry;
     const startedAt = clock.now();
-    const sent: SentRequest = { server, parts: state.parts };
+    const sent: SentRequest = { ...describeSuspected(state), server };
     const { promptKilotokens, finishPrefill, releaseSlot } = takeSlot(state, entry);
     const running = { entry, sent, isSilent: false, releaseSlot } as RunningAttempt;
     state.attempts.add(running);
@@ -112,6 +113,7 @@
           releaseSlot();
           state.attempts.delete(running);
           if (result.kind === 'broken' && result.isConnectionLost) crashWatch.recordLoss(sent);
+          else if (isSuccess(result)) crashWatch.recordAnswer(sent);
           if (!route.streamed && result.kind === 'answer') {
             serverPool.recordAnswerTime(entry, clock.now() - startedAt);
           }
@@ -121,3 +123,9 @@
     );
   };
 }
+
+/** Returns whether a server has answered completely and reports success. */
+function isSuccess(result: AttemptResult): boolean {
+  const isComplete = result.kind === 'delivered' || result.kind === 'answer';
+  return isComplete && result.status < 300;
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,7 +14,6 @@
 import { createMetrics, Metric } from '@masticbend/kernel/metrics';
 import { createStore } from '@masticbend/platform/store';
 import { createRepeatBudget } from '@masticbend/scheduling/repeat-budget';
-import { isGoing, type ServerEntry } from '@masticbend/scheduling/server-entry';
 import type { LimitShare } from '@masticbend/scheduling/server-limit';
 import { listNotices } from '@masticbend/scheduling/server-notice';
 import { createServerPool } from '@masticbend/scheduling/server-pool';
@@ -25,7 +24,7 @@
 import { parseAddress } from '@masticbend/settings/address';
 import { createAdministration } from './administration.js';
 import { createBackendClient, type BackendClient } from './backend-client.js';
-import { createCrashWatch, type CrashWatch } from './crash-watch.js';
+import { createCrashWatch, getRegistration, type CrashWatch } from './crash-watch.js';
 import { createIngress, type Ingress } from './ingress.js';
 import { createMeasuredStore } from './measured-store.js';
 import { createMembers, type Members } from './members.js';
@@ -208,7 +207,7 @@
     drawRandom: Math.random,
     probe: ({ address }, onResult) =>
       probeSocket(clock, { ...parseAddress(address), timeoutMs: PROBE_TIMEOUT_MS }, onResult),
-    isLeaving: ({ id, bornAt }) => isExpectedToEnd(kernel.find('board').find(id), bornAt),
+    getRegistration: ({ id, bornAt }) => getRegistration(kernel.find('board').find(id), bornAt),
     listLive: () => kernel.find('mesh').listLive(),
     send: (peer, message) => kernel.find('mesh').send(peer, message),
     listAnswering: () => kernel.find('requests').listAnswering(),
@@ -219,11 +218,6 @@
   });
 }
 
-/** Returns whether a server has announced its end, or its registration is gone or replaced. */
-function isExpectedToEnd(entry: ServerEntry | undefined, bornAt: number): boolean {
-  return !entry || entry.server.bornAt !== bornAt || isGoing(entry);
-}
-
 function createClientService(): BackendClient & Lifecycle {
   const client = createBackendClient();
   return { ...client, stop: client.close };
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -7,7 +7,7 @@
 import { startPause, type Clock } from '@masticbend/kernel/clock';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import { parseJson, readFields, readText } from '@masticbend/platform/decode';
-import type { PartEvidence } from '@masticbend/scheduling/crash-evidence';
+import type { SuspectEvidence } from '@masticbend/scheduling/crash-evidence';
 import type { ServiceVersions } from '@masticbend/scheduling/version-history';
 import { isAddress } from '@masticbend/settings/address';
 import type { EraStore } from './store-era.js';
@@ -68,9 +68,9 @@
   listVersions: () => ServiceVersions;
   /** Called with the versions in the row of each entry, before this entry first writes its own. */
   onVersions: (versions: ServiceVersions) => void;
-  /** Blocked parts of prompts, kept in the row; they are read with the rows of the others. */
-  listBlocked: () => PartEvidence[];
-  onBlocked: (evidence: PartEvidence[]) => void;
+  /** Blocked suspects of crashes, kept in the row; they are read with the rows of the others. */
+  listBlocked: () => SuspectEvidence[];
+  onBlocked: (evidence: SuspectEvidence[]) => void;
   onChange: () => void;
 }
 
@@ -236,15 +236,15 @@
   return Object.fromEntries(services.map(([service, names]) => [service, readTexts(names)]));
 }
 
-function readBlocked(value: Buffer): PartEvidence[] {
+function readBlocked(value: Buffer): SuspectEvidence[] {
   const blocked = readFields(parseJson(value))?.blocked;
   return (Array.isArray(blocked) ? blocked : []).flatMap((each) => {
-    const { part, crashes, refuted, trials } = readFields(each) ?? {};
-    const name = readText(part);
+    const { suspect, crashes, refuted, trials } = readFields(each) ?? {};
+    const name = readText(suspect);
     if (name === undefined) return [];
     return [
       {
-        part: name,
+        suspect: name,
         crashes: readTexts(crashes),
         refuted: readTexts(refuted),
         trials: typeof trials === 'number' ? trials : 0,
--- /dev/null
+++ b/packages/gateway/test/crash-watch.test.ts
@@ -0,0 +1,156 @@
+/** Which crashes an entry holds against whole requests, and what it tells the other entries. */
+import { expect } from 'chai';
+import { createVirtualClock } from '@masticbend/kernel/clock';
+import { createLogger } from '@masticbend/kernel/log';
+import type { CrashEvidenceMessage } from '@masticbend/protocol/gateway-message';
+import type { BackendServer } from '@masticbend/settings/routing';
+import { createCrashWatch, Registration, type SentRequest } from '../src/crash-watch.js';
+
+/** Time after which evidence counts. */
+const SETTLED_MS = 100;
+/** Time within which a server that is back is found to have crashed. */
+const FOUND_MS = 4_000;
+/** A crash of a whole service with many requests, each with a body of its own. */
+const CRASHED_SERVERS = 200;
+const LOST_REQUESTS = 40;
+const STORM_MS = 2_000;
+/** Bounds of the traffic of one entry with one peer, and of what it keeps. */
+const MAX_MESSAGES_PER_S = 50;
+const MAX_SUSPECTS_PER_MESSAGE = 64;
+const MAX_KNOWN = 1_024 + 256;
+
+function createServer(index: number): BackendServer {
+  return { id: `s${index}`, bornAt: 1 } as BackendServer;
+}
+
+function createWatch() {
+  const clock = createVirtualClock();
+  const sent: CrashEvidenceMessage[] = [];
+  const observed = { probes: 0, digests: 0 };
+  const state = { isRefused: true, registration: Registration.Serving as Registration };
+  const watch = createCrashWatch({
+    self: 'entry-0',
+    clock,
+    log: createLogger({}, 'silent'),
+    drawRandom: () => 0.5,
+    probe(_server, onResult) {
+      observed.probes += 1;
+      const { isRefused } = state;
+      clock.startTimer(1, () => onResult(isRefused));
+    },
+    getRegistration: () => state.registration,
+    listLive: () => ['entry-1'],
+    send: (_peer, message) => sent.push(message),
+    listAnswering: () => [],
+    onBlocked: () => undefined,
+  });
+  function createRequest(server: number, digest = 'd1', parts: string[] = []): SentRequest {
+    const getDigest = () => {
+      observed.digests += 1;
+      return digest;
+    };
+    return { server: createServer(server), parts, getDigest };
+  }
+  function recordLosses(servers: number[], digest?: string): void {
+    for (const server of servers) watch.recordLoss(createRequest(server, digest));
+    clock.advance(SETTLED_MS);
+  }
+  return { clock, sent, observed, state, watch, createRequest, recordLosses };
+}
+
+describe('crash watch', () => {
+  it('blocks a whole request after three crashes, and no other one', () => {
+    const { watch, createRequest, recordLosses } = createWatch();
+    recordLosses([1, 2]);
+    expect(watch.findBlocked(createRequest(9))).to.equal(undefined);
+    recordLosses([3]);
+    expect(watch.findBlocked(createRequest(9))).to.equal('request:d1');
+    expect(watch.findBlocked(createRequest(9, 'd2'))).to.equal(undefined);
+  });
+
+  // Each repeat of a request that crashes servers ends one more.
+  it('lets an entry repeat a request after one crash, not after two', () => {
+    const { watch, createRequest, recordLosses } = createWatch();
+    watch.recordLoss(createRequest(1));
+    expect(watch.isRepeatSafe(createRequest(9))).to.equal(true);
+    watch.recordLoss(createRequest(2));
+    expect(watch.isRepeatSafe(createRequest(9))).to.equal(false);
+    recordLosses([]);
+    expect(watch.isRepeatSafe(createRequest(9))).to.equal(false);
+    expect(watch.isRepeatSafe(createRequest(9, 'd2'))).to.equal(true);
+  });
+
+  // The digest of a large body takes time on each request.
+  it('computes no digest while no server has crashed', () => {
+    const { watch, observed, createRequest } = createWatch();
+    watch.findBlocked(createRequest(9));
+    watch.isRepeatSafe(createRequest(9));
+    watch.recordAnswer(createRequest(9));
+    expect(observed).to.deep.equal({ probes: 0, digests: 0 });
+  });
+
+  it('is refuted by a complete answer of a server that is still there', () => {
+    const { clock, watch, state, createRequest, recordLosses } = createWatch();
+    recordLosses([1, 2, 3]);
+    watch.recordAnswer(createRequest(4));
+    clock.advance(SETTLED_MS);
+    expect(watch.findBlocked(createRequest(9))).to.equal('request:d1');
+    state.isRefused = false;
+    watch.recordAnswer(createRequest(4));
+    clock.advance(SETTLED_MS);
+    expect(watch.findBlocked(createRequest(9))).to.equal(undefined);
+  });
+
+  // A new process accepted connections at the address before the entry dialled it.
+  it('counts a server that another incarnation has replaced', () => {
+    const { clock, watch, state, createRequest, recordLosses } = createWatch();
+    state.isRefused = false;
+    recordLosses([1, 2, 3]);
+    expect(watch.findBlocked(createRequest(9))).to.equal(undefined);
+    state.registration = Registration.Gone;
+    clock.advance(FOUND_MS);
+    expect(watch.findBlocked(createRequest(9))).to.equal('request:d1');
+  });
+
+  it('does not count connections that a server resets, or that end as it leaves', () => {
+    const { clock, watch, state, createRequest, recordLosses } = createWatch();
+    state.isRefused = false;
+    recordLosses([1, 2, 3]);
+    state.registration = Registration.Leaving;
+    recordLosses([4, 5, 6]);
+    clock.advance(FOUND_MS);
+    expect(watch.findBlocked(createRequest(9))).to.equal(undefined);
+  });
+
+  // The connection to a crashed server may end long after the others.
+  it('counts a loss that comes after the crash is known', () => {
+    const { watch, state, createRequest, recordLosses } = createWatch();
+    recordLosses([1, 2, 3], 'other');
+    state.isRefused = false;
+    recordLosses([1, 2, 3]);
+    expect(watch.findBlocked(createRequest(9))).to.equal('request:d1');
+  });
+
+  // Callers that vary their bodies would fill the memory and the links of all entries.
+  it('stays bounded in memory and messages when a whole service crashes', () => {
+    const { clock, watch, sent, createRequest, recordLosses } = createWatch();
+    recordLosses([1, 2, 3], 'bad');
+    const before = sent.length;
+    for (let server = 10; server < CRASHED_SERVERS + 10; server += 1) {
+      for (let index = 0; index < LOST_REQUESTS; index += 1) {
+        watch.recordLoss(createRequest(server, `${server}-${index}`, [`${server}-${index}`]));
+      }
+      clock.advance(STORM_MS / CRASHED_SERVERS);
+    }
+    clock.advance(SETTLED_MS);
+    const messages = sent.slice(before);
+    const maxMessages = (MAX_MESSAGES_PER_S * (STORM_MS + SETTLED_MS)) / 1_000;
+    expect(messages.length).to.be.at.most(maxMessages);
+    for (const { parts } of messages) expect(parts.length).to.be.at.most(MAX_SUSPECTS_PER_MESSAGE);
+    sent.length = 0;
+    watch.sendAll('entry-1');
+    expect(sent[0]!.parts.length).to.be.at.most(MAX_SUSPECTS_PER_MESSAGE + 1);
+    expect((watch.dump() as { known: number }).known).to.be.at.most(MAX_KNOWN);
+    expect(watch.findBlocked(createRequest(9, 'bad'))).to.equal('request:bad');
+  });
+});
--- a/packages/protocol/src/gateway-message.ts
+++ b/packages/protocol/src/gateway-message.ts
@@ -99,8 +99,8 @@
 }
 
 /**
- * Entry → entry: evidence on parts of prompts that may crash backend servers. The lists are in the
- * order of `parts`; incarnations of servers are separated by spaces.
+ * Entry → entry: evidence on what may crash backend servers. The lists are in the order of `parts`,
+ * which are parts of prompts and whole requests; incarnations of servers are separated by spaces.
  */
 export interface CrashEvidenceMessage {
   kind: 'crash-evidence';
--- a/packages/scheduling/src/crash-evidence.ts
+++ b/packages/scheduling/src/crash-evidence.ts
@@ -1,65 +1,78 @@
 /**
- * Evidence on which parts of prompts crash backend servers. Each crash is held against the parts of
- * the requests that the server was about to answer, and refuted for those with which an answer goes
- * on soundly. A part with several crashes left is blocked. Collections merge in any order, so that
- * instances can exchange them.
+ * Evidence on what crashes backend servers: the suspects are the shared parts of prompts, and whole
+ * requests by their digests. Each crash is held against the suspects of the requests that were lost
+ * with the server, and refuted for those that are answered soundly. A suspect with several crashes
+ * left is blocked. Collections merge in any order, so that instances can exchange them.
+ *
+ * Nothing else shares a whole request with its suspect. Therefore other suspects do not explain its
+ * crashes, and a trial of it shows whether it is sound without harming other requests.
  */
+import { isRequestSuspect } from './request-digest.js';
 
-/** Crashes after which a part is blocked. */
+/** Crashes after which a suspect is blocked. */
 const MIN_CRASHES = 3;
-/** Crashes kept for each part; further ones change nothing. */
+/** Crashes kept for each suspect; further ones change nothing. */
 const MAX_CRASHES = 12;
 /**
  * Age from which a crash counts: what other instances lost with the same server may show that
- * another part was the cause.
+ * another suspect was the cause.
  */
 export const SETTLING_MS = 80;
-/** Parts with evidence; the ones with the fewest crashes are dropped first, then the oldest. */
+/**
+ * Suspects of each kind with evidence; the oldest with at most one crash is dropped first, then the
+ * one with the fewest.
+ */
 const MAX_PARTS = 256;
-/** Time for which a crash is held against a part that is not blocked. */
+const MAX_REQUESTS = 1_024;
+/** Time for which a crash is held against a suspect that is not blocked. */
 const EVIDENCE_MS = 600_000;
 /**
- * Crashes of a part that no other blocked part explains and that still don't block it: the instance
- * that lost the requests with the other part may have ended before it reported them.
+ * Crashes of a suspect that no other blocked suspect explains and that still don't block it: the
+ * instance that lost the requests with the other one may have ended before it reported them.
  */
 const MAX_UNEXPLAINED_CRASHES = 1;
-/** Time after the last crash or trial at which a part is tried; it grows with each failed trial. */
+/** Time from the last crash or trial until a suspect is tried; it grows with failed trials. */
 const TRIAL_PAUSE_MS = 2_000;
 const TRIAL_PAUSE_GROWTH = 10;
+/** Growth with each trial of a whole request: three in a day, also where their ends are unknown. */
+const REQUEST_TRIAL_PAUSE_GROWTH = 40;
 
-/** Evidence about one part, as instances exchange it. */
-export interface PartEvidence {
-  part: string;
+/** Evidence about one suspect, as instances exchange it. */
+export interface SuspectEvidence {
+  suspect: string;
   /** Servers that crashed, by incarnation. */
   crashes: readonly string[];
-  /** Those of `crashes` for which the part was not the cause. */
+  /** Those of `crashes` for which the suspect was not the cause. */
   refuted: readonly string[];
-  /** Requests with the part that were admitted on trial while it was blocked. */
+  /** Requests with the suspect that were admitted on trial while it was blocked. */
   trials: number;
 }
 
 /** Evidence of one instance. Times are monotonic, in milliseconds. */
 export interface CrashEvidence {
   /** Records a crash; returns the changed evidence. */
-  addCrash: (now: number, crash: string, parts: Iterable<string>) => PartEvidence[];
-  /** Refutes all crashes of parts with which an answer is sound; returns the changed evidence. */
-  addSound: (now: number, parts: Iterable<string>) => PartEvidence[];
-  merge: (now: number, evidence: readonly PartEvidence[]) => void;
-  /** Returns whether a part has a crash that is not refuted. */
-  isSuspected: (part: string) => boolean;
+  addCrash: (now: number, crash: string, suspects: Iterable<string>) => SuspectEvidence[];
+  /** Refutes all crashes of suspects that are answered soundly; returns the changed evidence. */
+  addSound: (now: number, suspects: Iterable<string>) => SuspectEvidence[];
+  merge: (now: number, evidence: readonly SuspectEvidence[]) => void;
+  /** Returns the number of crashes of a suspect that are not refuted. */
+  countCrashes: (suspect: string) => number;
+  /** Returns whether any whole request may be a suspect. */
+  hasSuspectedRequests: (now: number) => boolean;
   hasCrash: (crash: string) => boolean;
   /**
-   * Returns the part for which a request with these parts is blocked; of several, the one with the
-   * most crashes. Where a blocked part that the request lacks explains the same crashes, the
-   * request is not blocked.
+   * Returns the suspect for which a request with these suspects is blocked; of several, the one
+   * with the most crashes. Where a blocked suspect that the request lacks explains the crashes of a
+   * part, the part does not block the request.
    */
-  findBlocked: (now: number, parts: readonly string[]) => string | undefined;
-  /** Returns whether one request with a blocked part may show whether it still crashes servers. */
-  isTrialDue: (now: number, part: string) => boolean;
-  /** Records a trial of a blocked part; returns the changed evidence. */
-  addTrial: (now: number, part: string) => PartEvidence[];
-  listBlocked: (now: number) => PartEvidence[];
-  list: () => PartEvidence[];
+  findBlocked: (now: number, suspects: readonly string[]) => string | undefined;
+  /** Returns whether one request may show whether a blocked suspect still crashes servers. */
+  isTrialDue: (now: number, suspect: string) => boolean;
+  /** Records a trial of a blocked suspect; returns the changed evidence. */
+  addTrial: (now: number, suspect: string) => SuspectEvidence[];
+  listBlocked: (now: number) => SuspectEvidence[];
+  list: () => SuspectEvidence[];
+  find: (suspect: string) => SuspectEvidence | undefined;
 }
 
 interface Crash {
@@ -67,7 +80,7 @@
   recordedAt: number;
 }
 
-interface PartRecord {
+interface SuspectRecord {
   crashes: Map<string, Crash>;
   trials: number;
   /** A trial was sent and no crash has followed it yet. */
@@ -79,19 +92,37 @@
 
 /** Returns an empty collection. */
 export function createCrashEvidence(): CrashEvidence {
-  /** In the order of their last change. */
-  const records = new Map<string, PartRecord>();
+  /** By kind, in the order of their last change. */
+  const parts = new Map<string, SuspectRecord>();
+  const requests = new Map<string, SuspectRecord>();
+  let requestChangedAt = -Infinity;
+
+  function getRecords(suspect: string): Map<string, SuspectRecord> {
+    return isRequestSuspect(suspect) ? requests : parts;
+  }
+
+  function findRecord(suspect: string): SuspectRecord | undefined {
+    return getRecords(suspect).get(suspect);
+  }
+
+  function listRecords(): [string, SuspectRecord][] {
+    return [...parts, ...requests];
+  }
 
-  function recordChange(now: number, part: string, record: PartRecord): void {
+  function recordChange(now: number, suspect: string, record: SuspectRecord): void {
+    const records = getRecords(suspect);
+    if (records === requests) requestChangedAt = now;
     record.changedAt = now;
-    records.delete(part);
-    records.set(part, record);
+    records.delete(suspect);
+    records.set(suspect, record);
   }
 
-  function addRecord(now: number, part: string): PartRecord {
-    const known = records.get(part);
+  function addRecord(now: number, suspect: string): SuspectRecord {
+    const records = getRecords(suspect);
+    const known = records.get(suspect);
     if (known) return known;
-    if (records.size >= MAX_PARTS) dropLeast(now);
+    const maxSize = records === requests ? MAX_REQUESTS : MAX_PARTS;
+    if (records.size >= maxSize) dropLeast(now, records, maxSize);
     const record = {
       crashes: new Map<string, Crash>(),
       trials: 0,
@@ -99,22 +130,23 @@
       failedTrials: 0,
       changedAt: now,
     };
-    records.set(part, record);
+    records.set(suspect, record);
     return record;
   }
 
-  function dropLeast(now: number): void {
-    let least: { part: string; crashes: number } | undefined;
-    for (const [part, record] of records) {
-      const crashes = listOpen(record).length;
-      if (crashes < MIN_CRASHES && now - record.changedAt > EVIDENCE_MS) records.delete(part);
-      else if (!least || crashes < least.crashes) least = { part, crashes };
+  function dropLeast(now: number, records: Map<string, SuspectRecord>, maxSize: number): void {
+    let least: { suspect: string; crashes: number } | undefined;
+    for (const [suspect, record] of records) {
+      const crashes = countOpen(record);
+      if (crashes < MIN_CRASHES && now - record.changedAt > EVIDENCE_MS) records.delete(suspect);
+      else if (!least || crashes < least.crashes) least = { suspect, crashes };
+      if (least && least.crashes <= 1) break;
     }
-    if (least && records.size >= MAX_PARTS) records.delete(least.part);
+    if (least && records.size >= maxSize) records.delete(least.suspect);
   }
 
-  function setCrash(now: number, part: string, crash: string, isRefuted: boolean): boolean {
-    const record = addRecord(now, part);
+  function setCrash(now: number, suspect: string, crash: string, isRefuted: boolean): boolean {
+    const record = addRecord(now, suspect);
     const known = record.crashes.get(crash);
     if (known && (known.isRefuted || known.isRefuted === isRefuted)) return false;
     if (known === undefined && !isRefuted && record.isTried) {
@@ -125,118 +157,142 @@
       if (isRefuted || !dropRefuted(record)) return false;
     }
     record.crashes.set(crash, { isRefuted, recordedAt: known?.recordedAt ?? now });
-    if (!isRefuted) recordChange(now, part, record);
+    if (!isRefuted) recordChange(now, suspect, record);
     return true;
   }
 
-  function expireCrashes(now: number, record: PartRecord): void {
+  function expireCrashes(now: number, record: SuspectRecord): void {
     if (isBlocked(now, record) || now - record.changedAt <= EVIDENCE_MS) return;
     record.crashes.clear();
   }
 
-  function listBlocked(now: number): [string, PartRecord][] {
-    return [...records].filter(([, record]) => isBlocked(now, record));
+  function listBlocked(now: number): [string, SuspectRecord][] {
+    return listRecords().filter(([, record]) => isBlocked(now, record));
+  }
+
+  function describe(suspect: string): SuspectEvidence {
+    return describeEvidence(suspect, findRecord(suspect)!);
   }
 
-  function describe(part: string): PartEvidence {
-    return describeEvidence(part, records.get(part)!);
+  function countCrashes(suspect: string): number {
+    const record = findRecord(suspect);
+    return record ? countOpen(record) : 0;
   }
 
   return {
-    addCrash(now, crash, parts) {
-      const changed = [...new Set(parts)].filter((part) => {
-        const record = records.get(part);
+    addCrash(now, crash, suspects) {
+      const changed = [...new Set(suspects)].filter((suspect) => {
+        const record = findRecord(suspect);
         if (record) expireCrashes(now, record);
-        return setCrash(now, part, crash, false);
+        return setCrash(now, suspect, crash, false);
       });
-      return changed.filter((part) => records.has(part)).map(describe);
+      return changed.filter((suspect) => findRecord(suspect) !== undefined).map(describe);
     },
-    addSound(now, parts) {
-      const changed: PartEvidence[] = [];
-      for (const part of new Set(parts)) {
-        const record = records.get(part);
+    addSound(now, suspects) {
+      const changed: SuspectEvidence[] = [];
+      for (const suspect of new Set(suspects)) {
+        const record = findRecord(suspect);
         if (record && listOpen(record).length > 0) {
           for (const crash of record.crashes.values()) crash.isRefuted = true;
-          changed.push(describeEvidence(part, record));
+          changed.push(describeEvidence(suspect, record));
         }
       }
       return changed;
     },
     merge(now, evidence) {
-      for (const { part, crashes, refuted, trials } of evidence) {
+      for (const { suspect, crashes, refuted, trials } of evidence) {
         const refutedCrashes = new Set(refuted);
-        for (const crash of crashes) setCrash(now, part, crash, refutedCrashes.has(crash));
-        const record = records.get(part);
+        for (const crash of crashes) setCrash(now, suspect, crash, refutedCrashes.has(crash));
+        const record = findRecord(suspect);
         if (record && trials > record.trials) {
           record.trials = trials;
           record.isTried = true;
-          recordChange(now, part, record);
+          recordChange(now, suspect, record);
         }
       }
     },
-    isSuspected(part) {
-      const record = records.get(part);
-      return record !== undefined && listOpen(record).length > 0;
+    countCrashes,
+    hasSuspectedRequests(now) {
+      if (now - requestChangedAt > EVIDENCE_MS) {
+        for (const [suspect, record] of requests) {
+          if (!isBlocked(now, record)) requests.delete(suspect);
+        }
+        requestChangedAt = now;
+      }
+      return requests.size > 0;
     },
-    hasCrash: (crash) => [...records.values()].some(({ crashes }) => crashes.has(crash)),
-    findBlocked(now, parts) {
-      if (!parts.some((part) => records.has(part))) return undefined;
+    hasCrash: (crash) => listRecords().some(([, { crashes }]) => crashes.has(crash)),
+    findBlocked(now, suspects) {
+      if (suspects.every((suspect) => findRecord(suspect) === undefined)) return undefined;
       const blocked = listBlocked(now);
-      const own = new Set(parts);
-      const others = blocked.filter(([part]) => !own.has(part)).map(([, record]) => record);
+      const own = new Set(suspects);
+      const others = blocked.filter(([suspect]) => !own.has(suspect)).map(([, record]) => record);
       const found = blocked
-        .filter(([part]) => own.has(part))
-        .filter(([, record]) => !others.some((other) => isExplainedBy(record, other)))
+        .filter(([suspect]) => own.has(suspect))
+        .filter(
+          ([suspect, record]) =>
+            isRequestSuspect(suspect) || !others.some((other) => isExplainedBy(record, other)),
+        )
         .sort(([, left], [, right]) => listOpen(right).length - listOpen(left).length);
       return found[0]?.[0];
     },
-    isTrialDue(now, part) {
-      const record = records.get(part);
+    isTrialDue(now, suspect) {
+      const record = findRecord(suspect);
       if (!record) return false;
-      const pauseMs = TRIAL_PAUSE_MS * TRIAL_PAUSE_GROWTH ** record.failedTrials;
+      const pauseMs = isRequestSuspect(suspect)
+        ? TRIAL_PAUSE_MS * REQUEST_TRIAL_PAUSE_GROWTH ** record.trials
+        : TRIAL_PAUSE_MS * TRIAL_PAUSE_GROWTH ** record.failedTrials;
       return now - record.changedAt >= pauseMs;
     },
-    addTrial(now, part) {
-      const record = records.get(part);
+    addTrial(now, suspect) {
+      const record = findRecord(suspect);
       if (!record) return [];
       record.trials += 1;
       record.isTried = true;
-      recordChange(now, part, record);
-      return [describe(part)];
+      recordChange(now, suspect, record);
+      return [describe(suspect)];
     },
-    listBlocked: (now) => listBlocked(now).map(([part, record]) => describeEvidence(part, record)),
-    list: () => [...records.keys()].map(describe),
+    listBlocked: (now) =>
+      listBlocked(now).map(([suspect, record]) => describeEvidence(suspect, record)),
+    list: () => listRecords().map(([suspect, record]) => describeEvidence(suspect, record)),
+    find: (suspect) => findRecord(suspect) && describe(suspect),
   };
 }
 
 /** Returns the crashes that are not refuted, recorded up to `until`. */
-function listOpen({ crashes }: PartRecord, until = Infinity): string[] {
+function listOpen({ crashes }: SuspectRecord, until = Infinity): string[] {
   return [...crashes]
     .filter(([, { isRefuted, recordedAt }]) => !isRefuted && recordedAt <= until)
     .map(([crash]) => crash);
 }
 
-function isBlocked(now: number, record: PartRecord): boolean {
+function countOpen({ crashes }: SuspectRecord): number {
+  let open = 0;
+  for (const { isRefuted } of crashes.values()) if (!isRefuted) open += 1;
+  return open;
+}
+
+function isBlocked(now: number, record: SuspectRecord): boolean {
   if (record.crashes.size < MIN_CRASHES) return false;
   return listOpen(record, now - SETTLING_MS).length >= MIN_CRASHES;
 }
 
-/** Returns whether another part is also held to account for the crashes that a part is. */
-function isExplainedBy(record: PartRecord, { crashes }: PartRecord): boolean {
+/** Returns whether another suspect is also held to account for the crashes that a suspect is. */
+function isExplainedBy(record: SuspectRecord, { crashes }: SuspectRecord): boolean {
   const unexplained = listOpen(record).filter((crash) => crashes.get(crash)?.isRefuted !== false);
   return unexplained.length <= MAX_UNEXPLAINED_CRASHES;
 }
 
-function dropRefuted({ crashes }: PartRecord): boolean {
+function dropRefuted({ crashes }: SuspectRecord): boolean {
   for (const [crash, { isRefuted }] of crashes) {
     if (isRefuted) return crashes.delete(crash);
   }
   return false;
 }
 
-function describeEvidence(part: string, record: PartRecord): PartEvidence {
+function describeEvidence(suspect: string, record: SuspectRecord): SuspectEvidence {
   const open = new Set(listOpen(record));
   const crashes = [...record.crashes.keys()];
   const { trials } = record;
-  return { part, crashes, refuted: crashes.filter((crash) => !open.has(crash)), trials };
+  return { suspect, crashes, refuted: crashes.filter((crash) => !open.has(crash)), trials };
 }
--- a/packages/scheduling/src/request-digest.ts
+++ b/packages/scheduling/src/request-digest.ts
@@ -7,6 +7,8 @@
 
 /** Characters of a digest: 128 bits. */
 const DIGEST_CHARACTERS = 32;
+/** Prefix of digests among the suspects of crashes; ids of prompt parts have no colon. */
+const SUSPECT_PREFIX = 'request:';
 
 /** What belongs to the identity of a request. */
 export interface RequestIdentity {
@@ -31,3 +33,13 @@
     .digest('hex')
     .slice(0, DIGEST_CHARACTERS);
 }
+
+/** Returns the suspect that stands for a whole request in the evidence of crashes. */
+export function formatRequestSuspect(digest: string): string {
+  return `${SUSPECT_PREFIX}${digest}`;
+}
+
+/** Returns whether a suspect is a whole request, and not a part of prompts. */
+export function isRequestSuspect(suspect: string): boolean {
+  return suspect.startsWith(SUSPECT_PREFIX);
+}
