Tell connected entries of crashes while they are not heard

Evidence of crashes went to the peers that are live. A peer that was not heard for 0.7 to 1.5 s keeps its connection, and got nothing of what was found in that time, then or later: it went on sending what the others refuse. The new test of crash-watch fails without the change.

--- a/packages/gateway/src/crash-outbox.ts
+++ b/packages/gateway/src/crash-outbox.ts
@@ -13,7 +13,7 @@
 /** Dependencies of the outbox. */
 export interface CrashOutboxOptions {
   evidence: Pick<CrashEvidence, 'find' | 'list' | 'countCrashes'>;
-  listLive: () => string[];
+  listConnected: () => string[];
   send: (peer: string, message: CrashEvidenceMessage) => void;
   startTimer: (delayMs: number, run: () => void) => void;
 }
@@ -27,7 +27,7 @@
 
 /** Returns an empty outbox. */
 export function createCrashOutbox(options: CrashOutboxOptions): CrashOutbox {
-  const { evidence, listLive, send, startTimer } = options;
+  const { evidence, listConnected, send, startTimer } = options;
   let changedSuspects: string[] = [];
   let isWaiting = false;
 
@@ -45,7 +45,7 @@
     changedSuspects = ranked.slice(MAX_SUSPECTS_PER_MESSAGE).filter((each) => !isSingle(each));
     const found = sent.map((suspect) => evidence.find(suspect));
     const message = createMessage(found.filter((each) => each !== undefined));
-    const peers = listLive();
+    const peers = listConnected();
     for (const peer of peers) send(peer, message);
     isWaiting = true;
     startTimer(MESSAGE_INTERVAL_MS + peers.length * PEER_INTERVAL_MS, () => {
--- a/packages/gateway/src/crash-watch.ts
+++ b/packages/gateway/src/crash-watch.ts
@@ -92,6 +92,7 @@
   /** A server that leaves is expected to end. */
   getRegistration: (server: BackendServer) => Registration;
   listLive: () => string[];
+  listConnected: () => string[];
   send: (peer: string, message: CrashEvidenceMessage) => void;
   /** Requests whose answers have begun and not ended. */
   listAnswering: () => SentRequest[];
@@ -101,7 +102,7 @@
 
 /** Returns a watch without evidence. */
 export function createCrashWatch(options: CrashWatchOptions): CrashWatch {
-  const { self, clock, log, drawRandom, listLive, send, listAnswering } = options;
+  const { self, clock, log, drawRandom, listLive, listAnswering } = options;
   const evidence: CrashEvidence = createCrashEvidence();
   /** Suspects of the lost requests of each server that is being probed. */
   const lostSuspects = new Map<string, Set<string>>();
@@ -110,7 +111,7 @@
   const watched = new Set<SentRequest>();
   let blockedSuspects: ReadonlySet<string> = new Set();
 
-  const outbox = createCrashOutbox({ evidence, listLive, send, startTimer });
+  const outbox = createCrashOutbox({ ...options, evidence, startTimer });
 
   function startTimer(delayMs: number, run: () => void): void {
     const stopTimer = clock.startTimer(delayMs, () => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -207,6 +207,7 @@
     drawRandom: Math.random,
     probe: ({ address }, onResult) =>
       probeSocket(clock, { ...parseAddress(address), timeoutMs: PROBE_TIMEOUT_MS }, onResult),
+    listConnected: () => kernel.find('mesh').listConnected(),
     getRegistration: ({ id, bornAt }) => getRegistration(kernel.find('board').find(id), bornAt),
     listLive: () => kernel.find('mesh').listLive(),
     send: (peer, message) => kernel.find('mesh').send(peer, message),
--- a/packages/gateway/src/peer-mesh.ts
+++ b/packages/gateway/src/peer-mesh.ts
@@ -83,6 +83,8 @@
   stop: () => void;
   /** Names of the peers that are live. */
   listLive: () => string[];
+  /** Names of the peers that get messages, now or once they read again. */
+  listConnected: () => string[];
   /** Sends a message to a connected peer. */
   send: (peer: string, message: Message) => void;
   setMembers: (members: readonly Member[]) => void;
@@ -297,6 +299,7 @@
       for (const peer of [...peers.values()]) peer.connection.close('stopping');
     },
     listLive,
+    listConnected: () => [...peers.keys()],
     send(peer, message) {
       peers.get(peer)?.connection.send(message);
     },
--- a/packages/gateway/test/crash-watch.test.ts
+++ b/packages/gateway/test/crash-watch.test.ts
@@ -27,7 +27,11 @@
   const clock = createVirtualClock();
   const sent: CrashEvidenceMessage[] = [];
   const observed = { probes: 0, digests: 0 };
-  const state = { isRefused: true, registration: Registration.Serving as Registration };
+  const state = {
+    isRefused: true,
+    isPeerLive: true,
+    registration: Registration.Serving as Registration,
+  };
   const watch = createCrashWatch({
     self: 'entry-0',
     clock,
@@ -39,7 +43,8 @@
       clock.startTimer(1, () => onResult(isRefused));
     },
     getRegistration: () => state.registration,
-    listLive: () => ['entry-1'],
+    listLive: () => (state.isPeerLive ? ['entry-1'] : []),
+    listConnected: () => ['entry-1'],
     send: (_peer, message) => sent.push(message),
     listAnswering: () => [],
     onBlocked: () => undefined,
@@ -131,6 +136,15 @@
     expect(watch.findBlocked(createRequest(9))).to.equal('request:d1');
   });
 
+  // A peer that was silent for a second never learned of the crashes of that time.
+  it('is sent to peers that are connected and not heard', () => {
+    const { sent, state, recordLosses } = createWatch();
+    state.isPeerLive = false;
+    recordLosses([1, 2]);
+    expect(sent.at(-1)?.parts).to.deep.equal(['request:d1']);
+    expect(sent.at(-1)?.crashes).to.deep.equal(['s1@1 s2@1']);
+  });
+
   // Callers that vary their bodies would fill the memory and the links of all entries.
   it('stays bounded in memory and messages when a whole service crashes', () => {
     const { clock, watch, sent, createRequest, recordLosses } = createWatch();
