Let callers of suspected requests return until a trial has failed

A request that many callers send, such as a popular page, can be lost with three servers that end for other reasons. It was then refused with status 400, as one that must not come back, at all entries until one of them had tried it: callers of sound requests gave up.

Until a trial has crashed a server as well, the answer is request-suspected, status 503, or outcome-unknown where the request may have run; request-blocked comes after it. Entries exchange and store the number of failed trials, since later entries do not see the crashes after the trial. The records of suspects and the probing of lost servers move to modules of their own.

--- a/packages/gateway/src/crash-guard.ts
+++ b/packages/gateway/src/crash-guard.ts
@@ -9,7 +9,10 @@
 
 /** Dependencies of the guard. */
 export interface CrashGuardOptions {
-  crashWatch: Pick<CrashWatch, 'findBlocked' | 'isTrialDue' | 'recordTrial' | 'isRepeatSafe'>;
+  crashWatch: Pick<
+    CrashWatch,
+    'findBlocked' | 'isConfirmed' | 'isTrialDue' | 'recordTrial' | 'isRepeatSafe'
+  >;
   /** Ends the placement of a request, and one of its attempts. */
   withdraw: (state: RequestState) => void;
   stopAttempt: (state: RequestState, running: RunningAttempt) => void;
@@ -43,14 +46,20 @@
 
   function finishBlocked(state: RequestState, suspect: string): void {
     state.lastFailureReason = `blocked ${suspect}`;
-    const isRequest = isRequestSuspect(suspect);
-    if (state.possibleRuns === 0) {
-      refuse(state, { kind: isRequest ? ErrorKind.RequestBlocked : ErrorKind.PromptBlocked });
-    } else if (isRequest) {
-      fail(state, { kind: ErrorKind.RequestBlockedAfterRun });
-    } else {
-      fail(state, { kind: ErrorKind.PromptBlockedAfterRun });
-    }
+    if (state.possibleRuns === 0) refuse(state, { kind: chooseRefusal(suspect) });
+    else fail(state, { kind: chooseFailure(suspect) });
+  }
+
+  /** Sound requests may be lost with several servers: until a trial fails, callers may return. */
+  function chooseRefusal(suspect: string): ErrorKind {
+    if (!isRequestSuspect(suspect)) return ErrorKind.PromptBlocked;
+    return crashWatch.isConfirmed(suspect) ? ErrorKind.RequestBlocked : ErrorKind.RequestSuspected;
+  }
+
+  function chooseFailure(suspect: string): ErrorKind {
+    if (!isRequestSuspect(suspect)) return ErrorKind.PromptBlockedAfterRun;
+    const isConfirmed = crashWatch.isConfirmed(suspect);
+    return isConfirmed ? ErrorKind.RequestBlockedAfterRun : ErrorKind.OutcomeUnknown;
   }
 
   return {
--- a/packages/gateway/src/crash-outbox.ts
+++ b/packages/gateway/src/crash-outbox.ts
@@ -3,7 +3,8 @@
  * are collected, so that the traffic is bounded however many servers crash with many requests.
  */
 import type { CrashEvidenceMessage } from '@masticbend/protocol/gateway-message';
-import type { CrashEvidence, SuspectEvidence } from '@masticbend/scheduling/crash-evidence';
+import type { CrashEvidence } from '@masticbend/scheduling/crash-evidence';
+import type { SuspectEvidence } from '@masticbend/scheduling/suspect-record';
 
 /** Shortest interval between messages to the other entries, and its increase with each of them. */
 const MESSAGE_INTERVAL_MS = 20;
@@ -77,6 +78,7 @@
     crashes: evidence.map(({ crashes }) => crashes.join(' ')),
     refuted: evidence.map(({ refuted }) => refuted.join(' ')),
     trials: evidence.map(({ trials }) => trials),
+    failedTrials: evidence.map(({ failedTrials }) => failedTrials),
   };
 }
 
@@ -85,12 +87,14 @@
   crashes,
   refuted,
   trials,
+  failedTrials,
 }: CrashEvidenceMessage): SuspectEvidence[] {
   return parts.map((suspect, index) => ({
     suspect,
     crashes: parseNames(crashes[index]),
     refuted: parseNames(refuted[index]),
     trials: trials[index] ?? 0,
+    failedTrials: failedTrials[index] ?? 0,
   }));
 }
 
--- a/packages/gateway/src/crash-watch.ts
+++ b/packages/gateway/src/crash-watch.ts
@@ -6,17 +6,13 @@
 import type { Clock } from '@masticbend/kernel/clock';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import type { CrashEvidenceMessage } from '@masticbend/protocol/gateway-message';
-import {
-  createCrashEvidence,
-  SETTLING_MS,
-  type CrashEvidence,
-  type SuspectEvidence,
-} from '@masticbend/scheduling/crash-evidence';
+import { createCrashEvidence, type CrashEvidence } from '@masticbend/scheduling/crash-evidence';
 import { formatRequestSuspect, isRequestSuspect } from '@masticbend/scheduling/request-digest';
 import { rankNames } from '@masticbend/scheduling/rendezvous';
-import { isGoing, type ServerEntry } from '@masticbend/scheduling/server-entry';
+import { SETTLING_MS, type SuspectEvidence } from '@masticbend/scheduling/suspect-record';
 import type { BackendServer } from '@masticbend/settings/routing';
 import { createCrashOutbox, readMessage } from './crash-outbox.js';
+import { createServerLosses, formatCrash, type Registration } from './server-losses.js';
 
 /** Time for which an answer must go on after its first output to show that its prompt is sound. */
 const SOUND_MS = 500;
@@ -29,8 +25,6 @@
  * turn it is: longer than a trial takes to become known.
  */
 const TRIAL_TURN_MS = 250;
-/** Times after a lost connection at which the server is dialled, unless it was found to crash. */
-const PROBE_AFTER_MS = [0, 250, 1_000, 3_000];
 /** Crashes of a request, with those that are not certain yet, after which it is not repeated. */
 const MAX_CRASHES_BEFORE_REPEAT = 1;
 
@@ -53,6 +47,8 @@
 export interface CrashWatch {
   /** Returns the suspect for which a request must not be sent. */
   findBlocked: (request: SuspectedRequest) => string | undefined;
+  /** Returns whether a blocked suspect has crashed a server on trial as well. */
+  isConfirmed: (suspect: string) => boolean;
   /** Returns whether this entry may send one request with a blocked suspect, to try it. */
   isTrialDue: (suspect: string) => boolean;
   /** Records that a request with a blocked suspect is sent to try it. */
@@ -77,10 +73,6 @@
   dump: () => unknown;
 }
 
-/** What is registered of an incarnation of a server. */
-export const Registration = { Serving: 'serving', Leaving: 'leaving', Gone: 'gone' } as const;
-export type Registration = (typeof Registration)[keyof typeof Registration];
-
 /** Dependencies of the watch. */
 export interface CrashWatchOptions {
   self: string;
@@ -104,14 +96,18 @@
 export function createCrashWatch(options: CrashWatchOptions): CrashWatch {
   const { self, clock, log, drawRandom, listLive, listAnswering } = options;
   const evidence: CrashEvidence = createCrashEvidence();
-  /** Suspects of the lost requests of each server that is being probed. */
-  const lostSuspects = new Map<string, Set<string>>();
   const stopTimers = new Set<() => void>();
   /** Answers that are being watched for soundness. */
   const watched = new Set<SentRequest>();
   let blockedSuspects: ReadonlySet<string> = new Set();
 
   const outbox = createCrashOutbox({ ...options, evidence, startTimer });
+  const losses = createServerLosses({
+    ...options,
+    startTimer,
+    isCrashed: (server) => evidence.hasCrash(formatCrash(server)),
+    onCrash: recordCrash,
+  });
 
   function startTimer(delayMs: number, run: () => void): void {
     const stopTimer = clock.startTimer(delayMs, () => {
@@ -195,42 +191,9 @@
     return ranked.slice(0, MAX_SUSPECTS_PER_CRASH).map(({ suspect }) => suspect);
   }
 
-  /**
-   * Probes a server until it is known to have crashed, by this entry or another, or the probes are
-   * used up: its connections may end before its address does, and another incarnation may already
-   * accept connections there.
-   */
-  function probeServer(server: BackendServer, lost: Set<string>, round = 0): void {
-    const crash = formatCrash(server);
-    options.probe(server, (isRefused) => {
-      const registration = options.getRegistration(server);
-      if (isRefused || registration === Registration.Gone || evidence.hasCrash(crash)) {
-        lostSuspects.delete(crash);
-        recordCrash(server, lost);
-        return;
-      }
-      const [afterMs, nextMs] = PROBE_AFTER_MS.slice(round, round + 2);
-      if (nextMs === undefined || registration === Registration.Leaving) {
-        lostSuspects.delete(crash);
-        return;
-      }
-      startTimer(nextMs - afterMs!, () => probeServer(server, lost, round + 1));
-    });
-  }
-
-  function findLost(server: BackendServer): Set<string> {
-    const crash = formatCrash(server);
-    let lost = lostSuspects.get(crash);
-    if (!lost) {
-      lost = new Set();
-      lostSuspects.set(crash, lost);
-      probeServer(server, lost);
-    }
-    return lost;
-  }
-
   return {
     findBlocked: (request) => evidence.findBlocked(clock.now(), listSuspects(request)),
+    isConfirmed: evidence.isConfirmed,
     isTrialDue(suspect) {
       const turn = rankNames(suspect, [self, ...listLive()]).indexOf(self);
       return evidence.isTrialDue(clock.now() - turn * TRIAL_TURN_MS, suspect);
@@ -240,10 +203,10 @@
       outbox.add(evidence.addTrial(clock.now(), suspect));
     },
     isRepeatSafe({ getDigest }) {
-      if (lostSuspects.size === 0 && !evidence.hasSuspectedRequests(clock.now())) return true;
+      if (!losses.hasAny() && !evidence.hasSuspectedRequests(clock.now())) return true;
       const suspect = formatRequestSuspect(getDigest());
-      const uncertain = [...lostSuspects.values()].filter((lost) => lost.has(suspect)).length;
-      return evidence.countCrashes(suspect) + uncertain <= MAX_CRASHES_BEFORE_REPEAT;
+      const crashes = evidence.countCrashes(suspect) + losses.count(suspect);
+      return crashes <= MAX_CRASHES_BEFORE_REPEAT;
     },
     recordOutput: startWatch,
     recordAnswer(request) {
@@ -258,14 +221,12 @@
       });
     },
     cancel: (request) => watched.delete(request),
-    recordLoss(request) {
-      const { server, parts, outputAt, getDigest } = request;
-      watched.delete(request);
-      if (options.getRegistration(server) !== Registration.Serving) return;
-      const lost = findLost(server);
-      lost.add(formatRequestSuspect(getDigest()));
-      if (outputAt !== undefined && clock.now() - outputAt >= SOUND_MS) return;
-      for (const part of parts) lost.add(part);
+    recordLoss(sent) {
+      const { server, parts, outputAt, getDigest } = sent;
+      watched.delete(sent);
+      const isSound = outputAt !== undefined && clock.now() - outputAt >= SOUND_MS;
+      const request = formatRequestSuspect(getDigest());
+      losses.add(server, isSound ? [request] : [request, ...parts]);
     },
     receive(peer, message) {
       evidence.merge(clock.now(), readMessage(message));
@@ -289,14 +250,3 @@
     dump: () => ({ blocked: evidence.listBlocked(clock.now()), known: evidence.list().length }),
   };
 }
-
-/** Returns what is registered of an incarnation; another one at the same name has replaced it. */
-export function getRegistration(entry: ServerEntry | undefined, bornAt: number): Registration {
-  if (entry?.server.bornAt !== bornAt) return Registration.Gone;
-  return isGoing(entry) ? Registration.Leaving : Registration.Serving;
-}
-
-/** Names an incarnation of a server. */
-function formatCrash({ id, bornAt }: BackendServer): string {
-  return `${id}@${bornAt}`;
-}
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -7,7 +7,7 @@
 import { startPause, type Clock } from '@masticbend/kernel/clock';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import { parseJson, readFields, readText } from '@masticbend/platform/decode';
-import type { SuspectEvidence } from '@masticbend/scheduling/crash-evidence';
+import type { SuspectEvidence } from '@masticbend/scheduling/suspect-record';
 import type { ServiceVersions } from '@masticbend/scheduling/version-history';
 import { isAddress } from '@masticbend/settings/address';
 import type { EraStore } from './store-era.js';
@@ -239,7 +239,7 @@
 function readBlocked(value: Buffer): SuspectEvidence[] {
   const blocked = readFields(parseJson(value))?.blocked;
   return (Array.isArray(blocked) ? blocked : []).flatMap((each) => {
-    const { suspect, crashes, refuted, trials } = readFields(each) ?? {};
+    const { suspect, crashes, refuted, trials, failedTrials } = readFields(each) ?? {};
     const name = readText(suspect);
     if (name === undefined) return [];
     return [
@@ -247,12 +247,17 @@
         suspect: name,
         crashes: readTexts(crashes),
         refuted: readTexts(refuted),
-        trials: typeof trials === 'number' ? trials : 0,
+        trials: readCount(trials),
+        failedTrials: readCount(failedTrials),
       },
     ];
   });
 }
 
+function readCount(value: unknown): number {
+  return typeof value === 'number' ? value : 0;
+}
+
 function readTexts(value: unknown): string[] {
   return Array.isArray(value) ? value.filter((each) => typeof each === 'string') : [];
 }
--- /dev/null
+++ b/packages/gateway/src/server-losses.ts
@@ -0,0 +1,84 @@
+/**
+ * Finds out whether backend servers to which connections were lost have crashed. The connections of
+ * a crashed server may end before its address does, and another incarnation may accept connections
+ * there before it is dialled: a server is probed several times, and its registration is compared.
+ */
+import { isGoing, type ServerEntry } from '@masticbend/scheduling/server-entry';
+import type { BackendServer } from '@masticbend/settings/routing';
+
+/** Times after a lost connection at which the server is dialled, unless it was found to crash. */
+const PROBE_AFTER_MS = [0, 250, 1_000, 3_000];
+
+/** What is registered of an incarnation of a server. */
+export const Registration = { Serving: 'serving', Leaving: 'leaving', Gone: 'gone' } as const;
+export type Registration = (typeof Registration)[keyof typeof Registration];
+
+/** Dependencies of the losses. */
+export interface ServerLossesOptions {
+  /** Calls `onResult` with whether the server refuses connections. */
+  probe: (server: BackendServer, onResult: (isRefused: boolean) => void) => void;
+  /** A server that leaves is expected to end. */
+  getRegistration: (server: BackendServer) => Registration;
+  /** Returns whether another entry has found that the server crashed. */
+  isCrashed: (server: BackendServer) => boolean;
+  startTimer: (delayMs: number, run: () => void) => void;
+  /** Called with the suspects that were lost with a server. */
+  onCrash: (server: BackendServer, suspects: ReadonlySet<string>) => void;
+}
+
+/** Servers to which connections were lost and that may have crashed. */
+export interface ServerLosses {
+  add: (server: BackendServer, suspects: readonly string[]) => void;
+  hasAny: () => boolean;
+  /** Returns the number of servers that were lost with a suspect. */
+  count: (suspect: string) => number;
+}
+
+/** Returns a collection without lost servers. */
+export function createServerLosses(options: ServerLossesOptions): ServerLosses {
+  const { probe, isCrashed, startTimer, onCrash } = options;
+  /** Suspects by the incarnation with which they were lost. */
+  const lost = new Map<string, Set<string>>();
+
+  function probeServer(server: BackendServer, suspects: Set<string>, round = 0): void {
+    const crash = formatCrash(server);
+    probe(server, (isRefused) => {
+      const registration = options.getRegistration(server);
+      const [afterMs, nextMs] = PROBE_AFTER_MS.slice(round, round + 2);
+      if (isRefused || registration === Registration.Gone || isCrashed(server)) {
+        lost.delete(crash);
+        onCrash(server, suspects);
+      } else if (nextMs === undefined || registration === Registration.Leaving) {
+        lost.delete(crash);
+      } else {
+        startTimer(nextMs - afterMs!, () => probeServer(server, suspects, round + 1));
+      }
+    });
+  }
+
+  return {
+    add(server, suspects) {
+      if (options.getRegistration(server) !== Registration.Serving) return;
+      const crash = formatCrash(server);
+      const known = lost.get(crash);
+      const all = known ?? new Set();
+      for (const suspect of suspects) all.add(suspect);
+      if (known) return;
+      lost.set(crash, all);
+      probeServer(server, all);
+    },
+    hasAny: () => lost.size > 0,
+    count: (suspect) => [...lost.values()].filter((suspects) => suspects.has(suspect)).length,
+  };
+}
+
+/** Returns what is registered of an incarnation; another one at the same name has replaced it. */
+export function getRegistration(entry: ServerEntry | undefined, bornAt: number): Registration {
+  if (entry?.server.bornAt !== bornAt) return Registration.Gone;
+  return isGoing(entry) ? Registration.Leaving : Registration.Serving;
+}
+
+/** Names an incarnation of a server. */
+export function formatCrash({ id, bornAt }: BackendServer): string {
+  return `${id}@${bornAt}`;
+}
--- a/packages/gateway/test/crash-watch.test.ts
+++ b/packages/gateway/test/crash-watch.test.ts
@@ -4,7 +4,8 @@
 import { createLogger } from '@masticbend/kernel/log';
 import type { CrashEvidenceMessage } from '@masticbend/protocol/gateway-message';
 import type { BackendServer } from '@masticbend/settings/routing';
-import { createCrashWatch, Registration, type SentRequest } from '../src/crash-watch.js';
+import { createCrashWatch, type SentRequest } from '../src/crash-watch.js';
+import { Registration } from '../src/server-losses.js';
 
 /** Time after which evidence counts. */
 const SETTLED_MS = 100;
--- a/packages/gateway/test/crashing-requests.test.ts
+++ b/packages/gateway/test/crashing-requests.test.ts
@@ -176,9 +176,15 @@
   }
 
   /** Returns whether a request is served at all entries before a moment; it is sent until then. */
-  async function isServedUntil(endAt: number, addresses: readonly string[], call: Call) {
+  async function isServedUntil(
+    endAt: number,
+    addresses: readonly string[],
+    call: Call,
+    received: Reply[],
+  ): Promise<boolean> {
     while (performance.now() < endAt) {
       const replies = await Promise.all(addresses.map((address) => send(address, call)));
+      received.push(...replies);
       if (replies.every(({ status }) => status === 200)) return true;
       await waitFor(ROUND_INTERVAL_MS);
     }
@@ -274,13 +280,15 @@
     expect(badArrivals).to.have.length(before);
   });
 
-  // Servers that are killed take sound requests with them, which crash nothing.
+  // Servers that are killed take sound requests with them, which crash nothing. Such a request was
+  // refused with the status of a bad one until a trial showed that it is sound.
   it('are not confused for good with sound ones that are lost with servers', async () => {
     const addresses = await start();
     const calls = Array.from({ length: LOST_REQUESTS }, (_, index) => ({
       ...POST,
       body: `order ${index} ${LOST_MARK}`,
     }));
+    const replies: Reply[] = [];
     for (let round = 0; round < LOST_ROUNDS; round += 1) {
       const lost = calls.map((call, index) => send(addresses[index % addresses.length]!, call));
       await waitFor(SOUND_MS);
@@ -288,7 +296,7 @@
         arrivals.some(({ closed }) => !closed),
       );
       await killServers(busy);
-      await Promise.all(lost);
+      replies.push(...(await Promise.all(lost)));
       await waitFor(2 * REPLACEMENT_DELAY_MS);
     }
     for (const backend of deployment.backends) backend.script = sendSound;
@@ -296,9 +304,11 @@
     // Every other caller keeps to one entry.
     const areServed = calls.map((call, index) => {
       const first = index % addresses.length;
-      return isServedUntil(endAt, addresses.slice(first, first + 1 + (index % 2) * 2), call);
+      const asked = addresses.slice(first, first + 1 + (index % 2) * 2);
+      return isServedUntil(endAt, asked, call, replies);
     });
     expect(await Promise.all(areServed)).not.to.include(false);
+    expect(replies.map(({ status }) => status)).not.to.include(400);
   });
 });
 
--- a/packages/protocol/src/error.ts
+++ b/packages/protocol/src/error.ts
@@ -23,6 +23,7 @@
   NoBackendServer: 'no-backend-server',
   PromptBlocked: 'prompt-blocked',
   PromptBlockedAfterRun: 'prompt-blocked-after-run',
+  RequestSuspected: 'request-suspected',
   RequestBlocked: 'request-blocked',
   RequestBlockedAfterRun: 'request-blocked-after-run',
   Stopping: 'stopping',
@@ -158,6 +159,13 @@
     0,
     'A part of the prompt has crashed backend servers; this request may have run on one.',
   ),
+  'request-suspected': createRule(
+    503,
+    No,
+    After,
+    1_000,
+    'This request was lost with several backend servers; it is held back for a trial.',
+  ),
   'request-blocked': createRule(
     400,
     No,
--- a/packages/scheduling/src/crash-evidence.ts
+++ b/packages/scheduling/src/crash-evidence.ts
@@ -8,16 +8,21 @@
  * crashes, and a trial of it shows whether it is sound without harming other requests.
  */
 import { isRequestSuspect } from './request-digest.js';
+import {
+  countOpen,
+  describeEvidence,
+  dropRefuted,
+  isBlocked,
+  isExplainedBy,
+  listOpen,
+  MIN_CRASHES,
+  type Crash,
+  type SuspectEvidence,
+  type SuspectRecord,
+} from './suspect-record.js';
 
-/** Crashes after which a suspect is blocked. */
-const MIN_CRASHES = 3;
 /** Crashes kept for each suspect; further ones change nothing. */
 const MAX_CRASHES = 12;
-/**
- * Age from which a crash counts: what other instances lost with the same server may show that
- * another suspect was the cause.
- */
-export const SETTLING_MS = 80;
 /**
  * Suspects of each kind with evidence; the oldest with at most one crash is dropped first, then the
  * one with the fewest.
@@ -26,28 +31,12 @@
 const MAX_REQUESTS = 1_024;
 /** Time for which a crash is held against a suspect that is not blocked. */
 const EVIDENCE_MS = 600_000;
-/**
- * Crashes of a suspect that no other blocked suspect explains and that still don't block it: the
- * instance that lost the requests with the other one may have ended before it reported them.
- */
-const MAX_UNEXPLAINED_CRASHES = 1;
 /** Time from the last crash or trial until a suspect is tried; it grows with failed trials. */
 const TRIAL_PAUSE_MS = 2_000;
 const TRIAL_PAUSE_GROWTH = 10;
 /** Growth with each trial of a whole request: three in a day, also where their ends are unknown. */
 const REQUEST_TRIAL_PAUSE_GROWTH = 40;
 
-/** Evidence about one suspect, as instances exchange it. */
-export interface SuspectEvidence {
-  suspect: string;
-  /** Servers that crashed, by incarnation. */
-  crashes: readonly string[];
-  /** Those of `crashes` for which the suspect was not the cause. */
-  refuted: readonly string[];
-  /** Requests with the suspect that were admitted on trial while it was blocked. */
-  trials: number;
-}
-
 /** Evidence of one instance. Times are monotonic, in milliseconds. */
 export interface CrashEvidence {
   /** Records a crash; returns the changed evidence. */
@@ -66,6 +55,8 @@
    * part, the part does not block the request.
    */
   findBlocked: (now: number, suspects: readonly string[]) => string | undefined;
+  /** Returns whether a blocked suspect has crashed a server on trial as well. */
+  isConfirmed: (suspect: string) => boolean;
   /** Returns whether one request may show whether a blocked suspect still crashes servers. */
   isTrialDue: (now: number, suspect: string) => boolean;
   /** Records a trial of a blocked suspect; returns the changed evidence. */
@@ -75,21 +66,6 @@
   find: (suspect: string) => SuspectEvidence | undefined;
 }
 
-interface Crash {
-  isRefuted: boolean;
-  recordedAt: number;
-}
-
-interface SuspectRecord {
-  crashes: Map<string, Crash>;
-  trials: number;
-  /** A trial was sent and no crash has followed it yet. */
-  isTried: boolean;
-  failedTrials: number;
-  /** Time of the last crash or trial. */
-  changedAt: number;
-}
-
 /** Returns an empty collection. */
 export function createCrashEvidence(): CrashEvidence {
   /** By kind, in the order of their last change. */
@@ -200,10 +176,11 @@
       return changed;
     },
     merge(now, evidence) {
-      for (const { suspect, crashes, refuted, trials } of evidence) {
+      for (const { suspect, crashes, refuted, trials, failedTrials } of evidence) {
         const refutedCrashes = new Set(refuted);
         for (const crash of crashes) setCrash(now, suspect, crash, refutedCrashes.has(crash));
         const record = findRecord(suspect);
+        if (record) record.failedTrials = Math.max(record.failedTrials, failedTrials);
         if (record && trials > record.trials) {
           record.trials = trials;
           record.isTried = true;
@@ -236,6 +213,7 @@
         .sort(([, left], [, right]) => listOpen(right).length - listOpen(left).length);
       return found[0]?.[0];
     },
+    isConfirmed: (suspect) => (findRecord(suspect)?.failedTrials ?? 0) > 0,
     isTrialDue(now, suspect) {
       const record = findRecord(suspect);
       if (!record) return false;
@@ -258,41 +236,3 @@
     find: (suspect) => findRecord(suspect) && describe(suspect),
   };
 }
-
-/** Returns the crashes that are not refuted, recorded up to `until`. */
-function listOpen({ crashes }: SuspectRecord, until = Infinity): string[] {
-  return [...crashes]
-    .filter(([, { isRefuted, recordedAt }]) => !isRefuted && recordedAt <= until)
-    .map(([crash]) => crash);
-}
-
-function countOpen({ crashes }: SuspectRecord): number {
-  let open = 0;
-  for (const { isRefuted } of crashes.values()) if (!isRefuted) open += 1;
-  return open;
-}
-
-function isBlocked(now: number, record: SuspectRecord): boolean {
-  if (record.crashes.size < MIN_CRASHES) return false;
-  return listOpen(record, now - SETTLING_MS).length >= MIN_CRASHES;
-}
-
-/** Returns whether another suspect is also held to account for the crashes that a suspect is. */
-function isExplainedBy(record: SuspectRecord, { crashes }: SuspectRecord): boolean {
-  const unexplained = listOpen(record).filter((crash) => crashes.get(crash)?.isRefuted !== false);
-  return unexplained.length <= MAX_UNEXPLAINED_CRASHES;
-}
-
-function dropRefuted({ crashes }: SuspectRecord): boolean {
-  for (const [crash, { isRefuted }] of crashes) {
-    if (isRefuted) return crashes.delete(crash);
-  }
-  return false;
-}
-
-function describeEvidence(suspect: string, record: SuspectRecord): SuspectEvidence {
-  const open = new Set(listOpen(record));
-  const crashes = [...record.crashes.keys()];
-  const { trials } = record;
-  return { suspect, crashes, refuted: crashes.filter((crash) => !open.has(crash)), trials };
-}
--- a/packages/scheduling/test/crash-evidence.test.ts
+++ b/packages/scheduling/test/crash-evidence.test.ts
@@ -1,8 +1,9 @@
 /** Which parts of prompts are blocked after crashes of backend servers. */
 import { expect } from 'chai';
-import { createCrashEvidence, SETTLING_MS, type CrashEvidence } from '../src/crash-evidence.js';
+import { createCrashEvidence, type CrashEvidence } from '../src/crash-evidence.js';
 import { listSharedParts } from '../src/prompt-parts.js';
 import { formatRequestSuspect } from '../src/request-digest.js';
+import { SETTLING_MS } from '../src/suspect-record.js';
 
 const TRIAL_AFTER_MS = 2_000;
 const DAY_MS = 24 * 3_600_000;
@@ -102,6 +103,19 @@
     }
   });
 
+  // Sound requests may be lost with several servers: only a failed trial tells them from bad ones.
+  it('confirms a suspect by a failed trial, at all instances', () => {
+    const [evidence, other, late] = [1, 2, 3].map(createCrashEvidence);
+    addCrashes(evidence!, ['s1', 's2', 's3', 's4'], [REQUEST]);
+    other!.merge(0, evidence!.addTrial(TRIAL_AFTER_MS, REQUEST));
+    expect(evidence!.isConfirmed(REQUEST)).to.equal(false);
+    other!.merge(0, evidence!.addCrash(TRIAL_AFTER_MS, 's5', [REQUEST]));
+    late!.merge(0, other!.list());
+    for (const each of [evidence!, other!, late!]) {
+      expect(each.isConfirmed(REQUEST)).to.equal(true);
+    }
+  });
+
   it('is the same at all instances, in whatever order they exchange it', () => {
     const left = createCrashEvidence();
     const right = createCrashEvidence();
