Evidence of crashes is exchanged with entries of the build before

The field failedTrials was required in messages and the stored field of a suspect had a new name, so that entries of the earlier build and of this one would not have exchanged evidence while they replace each other one by one. The field may be missing now, and rows with the earlier name are read.

--- a/packages/gateway/src/crash-outbox.ts
+++ b/packages/gateway/src/crash-outbox.ts
@@ -94,7 +94,7 @@
     crashes: parseNames(crashes[index]),
     refuted: parseNames(refuted[index]),
     trials: trials[index] ?? 0,
-    failedTrials: failedTrials[index] ?? 0,
+    failedTrials: failedTrials?.[index] ?? 0,
   }));
 }
 
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -239,8 +239,9 @@
 function readBlocked(value: Buffer): SuspectEvidence[] {
   const blocked = readFields(parseJson(value))?.blocked;
   return (Array.isArray(blocked) ? blocked : []).flatMap((each) => {
-    const { suspect, crashes, refuted, trials, failedTrials } = readFields(each) ?? {};
-    const name = readText(suspect);
+    const { suspect, part, crashes, refuted, trials, failedTrials } = readFields(each) ?? {};
+    // Entries of an earlier build store parts of prompts only, as `part`.
+    const name = readText(suspect ?? part);
     if (name === undefined) return [];
     return [
       {
--- a/packages/gateway/test/crash-watch.test.ts
+++ b/packages/gateway/test/crash-watch.test.ts
@@ -3,6 +3,7 @@
 import { createVirtualClock } from '@masticbend/kernel/clock';
 import { createLogger } from '@masticbend/kernel/log';
 import type { CrashEvidenceMessage } from '@masticbend/protocol/gateway-message';
+import { checkMessage } from '@masticbend/protocol/shape';
 import type { BackendServer } from '@masticbend/settings/routing';
 import { createCrashWatch, type SentRequest } from '../src/crash-watch.js';
 import { Registration } from '../src/server-losses.js';
@@ -146,6 +147,22 @@
     expect(sent.at(-1)?.crashes).to.deep.equal(['s1@1 s2@1']);
   });
 
+  // Entries are replaced one by one, so that those of the build before send messages meanwhile.
+  it('reads the evidence of entries of an earlier build', () => {
+    const { clock, watch, createRequest } = createWatch();
+    const message: CrashEvidenceMessage = {
+      kind: 'crash-evidence',
+      parts: ['a1'],
+      crashes: ['s1@1 s2@1 s3@1'],
+      refuted: [''],
+      trials: [0],
+    };
+    expect(checkMessage(message)).to.equal(undefined);
+    watch.receive('entry-1', message);
+    clock.advance(SETTLED_MS);
+    expect(watch.findBlocked(createRequest(9, 'd1', ['a1']))).to.equal('a1');
+  });
+
   // Callers that vary their bodies would fill the memory and the links of all entries.
   it('stays bounded in memory and messages when a whole service crashes', () => {
     const { clock, watch, sent, createRequest, recordLosses } = createWatch();
--- a/packages/protocol/src/gateway-message.ts
+++ b/packages/protocol/src/gateway-message.ts
@@ -109,8 +109,8 @@
   /** Those of `crashes` for which the part was not the cause. */
   refuted: string[];
   trials: number[];
-  /** Those of `trials` that a crash followed. */
-  failedTrials: number[];
+  /** Those of `trials` that a crash followed; entries of an earlier build don't send them. */
+  failedTrials?: number[];
 }
 
 /** Entry → agent, first message: the backend server that the entry needs permits for. */
--- a/packages/protocol/src/shape.ts
+++ b/packages/protocol/src/shape.ts
@@ -248,7 +248,7 @@
     crashes: createListCheck(isLongText),
     refuted: createListCheck(isLongText),
     trials: createListCheck(isNonNegativeInteger),
-    failedTrials: createListCheck(isNonNegativeInteger),
+    failedTrials: createOptionalCheck(createListCheck(isNonNegativeInteger)),
   },
 };
 
