Tell other entries of a failed trial after many crashes

A trial that failed after them changed nothing that was exchanged: the entries that had not sent it went on answering request-suspected, so that callers came back. Seen once in crashing-requests.test.ts (servers back before they are dialled, 503 in place of 400). The new test of crash-evidence failed before.

--- a/packages/scheduling/src/crash-evidence.ts
+++ b/packages/scheduling/src/crash-evidence.ts
@@ -125,12 +125,13 @@
     const record = addRecord(now, suspect);
     const known = record.crashes.get(crash);
     if (known && (known.isRefuted || known.isRefuted === isRefuted)) return false;
-    if (known === undefined && !isRefuted && record.isTried) {
+    const isTrialFailure = known === undefined && !isRefuted && record.isTried;
+    if (isTrialFailure) {
       record.isTried = false;
       record.failedTrials += 1;
     }
     if (known === undefined && record.crashes.size >= MAX_CRASHES) {
-      if (isRefuted || !dropRefuted(record)) return false;
+      if (isRefuted || !dropRefuted(record)) return isTrialFailure;
     }
     record.crashes.set(crash, { isRefuted, recordedAt: known?.recordedAt ?? now });
     if (!isRefuted) recordChange(now, suspect, record);
--- a/packages/scheduling/test/crash-evidence.test.ts
+++ b/packages/scheduling/test/crash-evidence.test.ts
@@ -116,6 +116,17 @@
     }
   });
 
+  // The entries that did not send the trial went on telling callers to come back.
+  it('tells other instances of a failed trial after many crashes', () => {
+    const [evidence, other] = [1, 2].map(createCrashEvidence);
+    const names = Array.from({ length: 28 }, (_, index) => `s${index}`);
+    addCrashes(evidence!, names, [REQUEST]);
+    other!.merge(0, evidence!.list());
+    other!.merge(0, evidence!.addTrial(TRIAL_AFTER_MS, REQUEST));
+    other!.merge(0, evidence!.addCrash(TRIAL_AFTER_MS, 'last', [REQUEST]));
+    expect(other!.isConfirmed(REQUEST)).to.equal(true);
+  });
+
   it('is the same at all instances, in whatever order they exchange it', () => {
     const left = createCrashEvidence();
     const right = createCrashEvidence();
