Test of crashing requests: the series goes on until the answer is final

Trace: such a crash is found when the registration shows another incarnation at one of the probes, at most 3 s after the loss; the trial follows 2 s after the last crash and is found to have failed as late, up to 8 s in all. The bound of the users, at most three sends from 3 s after the third crash, names no time for the final answer. The series now goes on until 0.5 s after the first final answer, at most 14 s; the bound of the sends holds over all of it, and the last answer must be final as before.

--- a/packages/gateway/test/crashing-requests.test.ts
+++ b/packages/gateway/test/crashing-requests.test.ts
@@ -23,8 +23,9 @@
 const MAX_LATE_SENDS = 3;
 /** Time for which the sends are observed while they are bounded. */
 const OBSERVED_MS = 3_000;
-/** Time after which a series ends in any case. */
-const MAX_SERIES_MS = 10_000;
+/** Time after which a series ends in any case, and for which it goes on after a final answer. */
+const MAX_SERIES_MS = 14_000;
+const FINAL_MS = 500;
 /** Interval at which the request arrives at all entries at once. */
 const ROUND_INTERVAL_MS = 80;
 /** Time for which a server runs a request before it crashes, and until a new one is registered. */
@@ -83,6 +84,8 @@
   let ending: Ending;
   const crashedAt: number[] = [];
   const badArrivals: number[] = [];
+  /** Time of the first final refusal. */
+  let finalAt: number | undefined;
   /** Servers that are being replaced. */
   const replacements: Promise<void>[] = [];
   let requestCount = 0;
@@ -92,6 +95,7 @@
     ending = 'closed';
     crashedAt.length = 0;
     badArrivals.length = 0;
+    finalAt = undefined;
     replacements.length = 0;
   });
 
@@ -161,6 +165,12 @@
     return deployment.call(path, { address, method, body, headers });
   }
 
+  async function sendObserved(address: string, call: Call): Promise<Reply> {
+    const reply = await send(address, call);
+    if (reply.status === 400) finalAt ??= performance.now();
+    return reply;
+  }
+
   /** Sends the request to all entries at once, at intervals, while `isGoing` returns true. */
   async function sendRounds(
     addresses: readonly string[],
@@ -169,7 +179,7 @@
   ): Promise<Reply[]> {
     const replies: Promise<Reply>[] = [];
     while (isGoing()) {
-      for (const address of addresses) replies.push(send(address, call));
+      for (const address of addresses) replies.push(sendObserved(address, call));
       await waitFor(ROUND_INTERVAL_MS);
     }
     return Promise.all(replies);
@@ -195,11 +205,12 @@
     return (crashedAt[BOUNDED_CRASHES - 1] ?? Infinity) + CONTACT_MS;
   }
 
-  /** Sends the request until its sends have been bounded for some time. */
+  /** Sends the request until its sends have been bounded for some time and its answer is final. */
   function sendUntilObserved(addresses: readonly string[], call: Call): Promise<Reply[]> {
     const endAt = performance.now() + MAX_SERIES_MS;
-    const isGoing = () => performance.now() < Math.min(getBoundedAt() + OBSERVED_MS, endAt);
-    return sendRounds(addresses, call, isGoing);
+    const getObservedAt = () =>
+      Math.max(getBoundedAt() + OBSERVED_MS, (finalAt ?? Infinity) + FINAL_MS);
+    return sendRounds(addresses, call, () => performance.now() < Math.min(getObservedAt(), endAt));
   }
 
   /** Sends sound requests of the same path and caller, each with a body of its own. */
