Soak: whole requests that crash their engines, and a check that they are blocked

The soak knew parts of prompts that crash engines, but no request as a whole: callers sent no bodies and calls that crash were unknown. Each engine that begins to run one crashes 5 to 150 ms later, before any byte of a call's answer and after the head of half of the streams, and is back after 0.7 to 3 s. The crashing call has no prompt. Sound requests with the same key and path and with other bodies go on beside it.

The check of blocked parts counts only crashes under the part.

--- a/packages/bench/src/soak.ts
+++ b/packages/bench/src/soak.ts
@@ -11,9 +11,15 @@
 import { findViolations } from './soak/checks.js';
 import { applyFault, setPause, type ActiveFault } from './soak/faults.js';
 import { startSoakCluster } from './soak/cluster.js';
+import { CRASHING_BODY } from './soak/engine.js';
 
 /** API keys valid at the start; one is revoked during the run. */
 const INITIAL_KEYS = ['key-a', 'key-b', 'key-c'];
+/** Paths from which one is drawn each for a crashing call and a crashing stream. */
+const CRASHING_PATHS = [
+  ['/once/', '/again/'],
+  ['/stream/', '/resume-stream/'],
+];
 const MAX_LISTED_VIOLATIONS = 10;
 /** Time for the processes to start, and time observed after the recovery, in milliseconds. */
 const STARTUP_MS = 2_500;
@@ -91,7 +97,12 @@
     },
     draw() * seconds * 1_000,
   );
-  const crashTimer = setTimeout(callers.sendCrashing, draw() * seconds * 1_000);
+  const crashTimer = setTimeout(callers.sendCrashingPart, draw() * seconds * 1_000);
+  const crashingTimers = CRASHING_PATHS.map((paths) => {
+    const path = paths[Math.floor(draw() * paths.length)]!;
+    const request = { path, key: INITIAL_KEYS[0]!, body: `${CRASHING_BODY} ${path}` };
+    return setTimeout(() => callers.sendCrashingRequest(request), draw() * seconds * 1_000);
+  });
 
   function removeKey(): void {
     const key = keys.pop()!;
@@ -125,7 +136,7 @@
   cluster.leaving.set(leavingEngine!.id, performance.now());
   const leavingAt = new Map([[leavingEngine!.id, performance.now() + 400]]);
   await wait(FAULT_FREE_MS);
-  clearTimeout(crashTimer);
+  for (const timer of [crashTimer, ...crashingTimers]) clearTimeout(timer);
   clearTimeout(limitTimer);
   await callers.stop();
   const runs = cluster.engines.flatMap((engine) => engine.runs);
--- a/packages/bench/src/soak/callers.ts
+++ b/packages/bench/src/soak/callers.ts
@@ -20,6 +20,13 @@
 const PATHS = ['/once/', '/again/', '/stream/', RESUMABLE_PATH] as const;
 /** Fraction of requests whose prompts have the crashing part, once it is sent. */
 const CRASHING_FRACTION = 0.05;
+/** Interval at which a crashing request comes, in milliseconds, and the fraction sent in pairs. */
+const CRASHING_INTERVAL_MS = 700;
+const SIMULTANEOUS_FRACTION = 0.3;
+/** Repeats of each by its caller, and the delay before them in milliseconds. */
+const MAX_CALLER_REPEATS = 2;
+const REPEAT_DELAY_MS = 150;
+const STATUS_RATE_LIMITED = 429;
 const COMPLETE_EVENTS = /^(?:id: \d+\n.*\n\n)+/;
 
 /** A request and its answer as recorded by the caller; times are from `performance.now()`. */
@@ -28,6 +35,8 @@
   path: string;
   /** Its prompt has the crashing part. */
   isCrashing: boolean;
+  /** Body of the crashing request that it is. */
+  crashingBody?: string;
   key: string;
   entry: string;
   sentAt: number;
@@ -42,12 +51,33 @@
   before: string;
 }
 
-/** Starts callers at a constant rate; `stop` waits for all outstanding answers. */
+type CallOptions = Pick<CallRecord, 'resumes' | 'before' | 'crashingBody'> & { key?: string };
+
+/** A request that crashes each engine which begins to run it. */
+export interface CrashingRequest {
+  path: string;
+  key: string;
+  /** Begins with `CRASHING_BODY`; also the name of the request. */
+  body: string;
+}
+
+/** Running callers. */
+export interface Callers {
+  records: CallRecord[];
+  /** From now on, some prompts have the crashing part. */
+  sendCrashingPart: () => void;
+  /** Sends a crashing request again and again, each time with an id of its own. */
+  sendCrashingRequest: (request: CrashingRequest) => void;
+  /** Waits for all outstanding answers. */
+  stop: () => Promise<void>;
+}
+
+/** Starts callers at a constant rate. */
 export function startCallers(
   intervalMs: number,
   drawRandom: () => number,
   chooseTarget: () => { entry: string; key: string },
-): { records: CallRecord[]; sendCrashing: () => void; stop: () => Promise<void> } {
+): Callers {
   const records: CallRecord[] = [];
   const agent = new Agent({ connections: CONNECTIONS_PER_ENTRY, pipelining: 1 });
   const inFlight = new Set<Promise<void>>();
@@ -64,17 +94,30 @@
     }
   }
 
+  /** Sends a crashing request, and repeats it at any entry unless it is refused for good. */
+  async function callCrashing(request: CrashingRequest): Promise<void> {
+    for (let repeats = 0; repeats <= MAX_CALLER_REPEATS; repeats += 1) {
+      const { key, body: crashingBody } = request;
+      const { status } = await sendCall(request.path, { before: '', key, crashingBody });
+      if (status >= 400 && status < 500 && status !== STATUS_RATE_LIMITED) return;
+      await new Promise((resolve) => {
+        setTimeout(resolve, REPEAT_DELAY_MS);
+      });
+    }
+  }
+
   async function sendCall(
     path: string,
-    { resumes, before }: Pick<CallRecord, 'resumes' | 'before'> = { before: '' },
+    { resumes, before, crashingBody, ...fixed }: CallOptions = { before: '' },
   ): Promise<CallRecord> {
-    const { entry, key } = chooseTarget();
-    const isCrashing = drawRandom() < crashingFraction;
+    const { entry, key } = { ...chooseTarget(), ...fixed };
+    const isCrashing = drawRandom() < crashingFraction && crashingBody === undefined;
     callCount += 1;
     const record: CallRecord = {
       id: `r${callCount}`,
       path,
       isCrashing,
+      crashingBody,
       key,
       entry,
       sentAt: performance.now(),
@@ -95,13 +138,13 @@
           [API_KEY_HEADER]: key,
           [REQUEST_ID_HEADER]: record.id,
           [DEADLINE_HEADER]: String(CALLER_DEADLINE_MS),
-          [PREFIX_HASH_HEADER]: formatPrompt(record),
+          ...formatPromptHeaders(record),
           ...(resumes !== undefined && {
             [RESUMES_HEADER]: resumes,
             [LAST_EVENT_ID_HEADER]: findLastId(before),
           }),
         },
-        body: `order of ${record.id}`,
+        body: crashingBody ?? `order of ${record.id}`,
         signal: AbortSignal.timeout(CALLER_DEADLINE_MS + CALLER_PATIENCE_MS),
       });
       record.status = statusCode;
@@ -114,28 +157,43 @@
     return record;
   }
 
-  const timer = setInterval(() => {
-    const running = call().finally(() => inFlight.delete(running));
+  function startCall(run: () => Promise<void>): void {
+    const running = run().finally(() => inFlight.delete(running));
     inFlight.add(running);
-  }, intervalMs);
+  }
+
+  const timers = [setInterval(() => startCall(call), intervalMs)];
 
   return {
     records,
-    sendCrashing() {
+    sendCrashingPart() {
       crashingFraction = CRASHING_FRACTION;
     },
+    sendCrashingRequest(request) {
+      const timer = setInterval(() => {
+        startCall(() => callCrashing(request));
+        if (drawRandom() < SIMULTANEOUS_FRACTION) startCall(() => callCrashing(request));
+      }, CRASHING_INTERVAL_MS);
+      timers.push(timer);
+    },
     async stop() {
-      clearInterval(timer);
+      for (const timer of timers) clearInterval(timer);
       await Promise.all(inFlight);
       await agent.destroy();
     },
   };
 }
 
-/** Requests share the first and the third part; the last is their own. */
-function formatPrompt({ id, isCrashing }: CallRecord): string {
+/**
+ * Requests share the first and the third part; the last is their own. A crashing call has no
+ * prompt, so that only the request as a whole tells that it crashes engines.
+ */
+function formatPromptHeaders(record: CallRecord): Record<string, string> {
+  const { id, path, isCrashing, crashingBody } = record;
+  if (crashingBody !== undefined && !path.includes('stream')) return {};
   const own = Number(id.slice(1)).toString(16);
-  return `a1:60,${isCrashing ? CRASHING_PART : 'd2'}:90,b3:40,${own}:10`;
+  const prompt = `a1:60,${isCrashing ? CRASHING_PART : 'd2'}:90,b3:40,${own}:10`;
+  return { [PREFIX_HASH_HEADER]: prompt };
 }
 
 function findLastId(events: string): string {
--- a/packages/bench/src/soak/checks.ts
+++ b/packages/bench/src/soak/checks.ts
@@ -1,9 +1,10 @@
 /** Guarantees of a soak test, checked against the records of callers and backend servers. */
+import { checkBlockedRequests } from './blocked-requests.js';
 import type { CallRecord } from './callers.js';
-import { formatBody, formatEvents, type Run } from './engine.js';
+import { CRASHING_PART, formatBody, formatEvents, type Run } from './engine.js';
 import type { History } from './history.js';
 import { checkAnswered } from './lost-answers.js';
-import { BOUNDS, CRASH_RESTART_MS } from './cluster.js';
+import { BOUNDS, type Crash } from './cluster.js';
 
 /** Tolerance for event times that are read from the clock late, in milliseconds. */
 const CLOCK_TOLERANCE_MS = 150;
@@ -33,8 +34,7 @@
   revokedAt: ReadonlyMap<string, number>;
   /** Times at which servers reported that they are leaving, with the store reachable. */
   leavingAt: ReadonlyMap<string, number>;
-  /** Times at which engines crashed under a part of a prompt. */
-  crashes: readonly number[];
+  crashes: readonly Crash[];
   /** What was done to the processes and connections. */
   history: History;
   /** Engines that name a limit, and when requests arrived at them while the limit must be kept. */
@@ -55,6 +55,7 @@
     ...observed.records.flatMap((record) => checkKey(record, observed)),
     ...observed.runs.flatMap((run) => checkLeaving(run, observed)),
     ...checkBlocked(observed),
+    ...checkBlockedRequests(observed),
     ...observed.limited.flatMap(checkLimit),
     ...checkRecovery(observed),
   ];
@@ -99,12 +100,13 @@
 }
 
 function checkBlocked({ runs, crashes, faultFreeFrom }: Observations): string[] {
-  const fifthAt = [...crashes].sort((left, right) => left - right)[CRASHES_UNTIL_BLOCKED - 1];
+  const times = crashes.filter(({ cause }) => cause === CRASHING_PART).map(({ at }) => at);
+  const fifthAt = times.sort((left, right) => left - right)[CRASHES_UNTIL_BLOCKED - 1];
   if (fifthAt === undefined) return [];
   const from = Math.max(fifthAt + BLOCKING_MS, faultFreeFrom);
   const late = runs.filter(({ isCrashing, startedAt }) => isCrashing && startedAt > from);
   if (late.length <= MAX_RUNS_WHEN_BLOCKED) return [];
-  return [`${late.length} runs with a part after ${crashes.length} crashes under it`];
+  return [`${late.length} runs with a part after ${times.length} crashes under it`];
 }
 
 function checkLimit({ id, perSecond, arrivals }: Observations['limited'][number]): string[] {
@@ -118,8 +120,8 @@
 }
 
 /** Returns whether an engine crashed, or had not started again, while a request was open. */
-function isDuringCrash({ sentAt, endedAt }: CallRecord, crashes: readonly number[]): boolean {
-  return crashes.some((at) => sentAt < at + CRASH_RESTART_MS + CLOCK_TOLERANCE_MS && endedAt > at);
+function isDuringCrash({ sentAt, endedAt }: CallRecord, crashes: readonly Crash[]): boolean {
+  return crashes.some(({ at, until }) => sentAt < until + CLOCK_TOLERANCE_MS && endedAt > at);
 }
 
 function checkRecovery({ records, faultFreeFrom, revokedAt, crashes }: Observations): string[] {
@@ -128,6 +130,7 @@
       record.sentAt >= faultFreeFrom &&
       !revokedAt.has(record.key) &&
       !record.isCrashing &&
+      record.crashingBody === undefined &&
       !isDuringCrash(record, crashes),
   );
   const served = checked.filter(({ status, interrupted }) => status === 200 && !interrupted).length;
--- a/packages/bench/src/soak/cluster.ts
+++ b/packages/bench/src/soak/cluster.ts
@@ -17,7 +17,7 @@
 import { startStoreStandIn, type StoreStandIn } from '@masticbend/platform/store-standin';
 import { reservePorts } from '@masticbend/standins/ports';
 import { ServerState } from '@masticbend/settings/routing';
-import { startEngine, type SoakEngine } from './engine.js';
+import { CRASHING_PART, startEngine, type SoakEngine } from './engine.js';
 import { createHistory, recordMoment, type History } from './history.js';
 import { startRelay, type Relay } from './relay.js';
 
@@ -28,8 +28,12 @@
 /** Interval between registrations of the backend servers, in milliseconds. */
 const REGISTRATION_INTERVAL_MS = 400;
 const SLOTS_PER_ENGINE = 6;
-/** Time from a crash of an engine until its next incarnation serves, in milliseconds. */
-export const CRASH_RESTART_MS = 700;
+/**
+ * Time from a crash of an engine until its next incarnation serves, in milliseconds: under the
+ * crashing part, and the range under a crashing request.
+ */
+const CRASH_RESTART_MS = 700;
+const CRASH_RESTART_RANGE_MS = [700, 3_000] as const;
 /** Software versions of the backend servers that serve side by side. */
 const SOFTWARE_VERSIONS = 2;
 
@@ -60,13 +64,21 @@
   address: string;
 }
 
+/** A crash of an engine. */
+export interface Crash {
+  /** The part of a prompt or the body under which it happened. */
+  cause: string;
+  at: number;
+  /** When the next incarnation serves. */
+  until: number;
+}
+
 /** A running cluster. */
 export interface SoakCluster {
   folder: string;
   store: StoreStandIn;
   storeRelays: Relay[];
-  /** Times at which engines crashed under the crashing part. */
-  crashes: number[];
+  crashes: Crash[];
   engines: SoakEngine[];
   engineRelays: Relay[];
   entries: SoakProcess[];
@@ -95,7 +107,7 @@
   const leaving = new Map<string, number>();
   const state = { version: 0, isClosing: false, configuration: BASE_CONFIGURATION };
   const history = createHistory();
-  const crashes: number[] = [];
+  const crashes: Crash[] = [];
   const engines: SoakEngine[] = [];
   const engineRelays: Relay[] = [];
   for (let index = 0; index <= engineCount; index += 1) {
@@ -104,7 +116,7 @@
     engines.push(engine);
     const relay = await startRelay(host, engine.address, (bytes) => recordSent(engine.id, bytes));
     engineRelays.push(relay);
-    engine.handlers.crash = () => restartEngine(engine, relay);
+    engine.handlers.crash = (cause) => restartEngine(engine, relay, cause);
   }
 
   function recordSent(engine: string, bytes: Buffer): void {
@@ -114,9 +126,12 @@
   }
 
   /** Ends an engine and starts its next incarnation at the same address later. */
-  function restartEngine(engine: SoakEngine, relay: Relay): void {
+  function restartEngine(engine: SoakEngine, relay: Relay, cause: string): void {
     if (!relay.isListening()) return;
-    crashes.push(performance.now());
+    const [least, most] = CRASH_RESTART_RANGE_MS;
+    const restartMs = cause === CRASHING_PART ? CRASH_RESTART_MS : least + draw() * (most - least);
+    const at = performance.now();
+    crashes.push({ cause, at, until: at + restartMs });
     recordMoment(history.engineBreaks, engine.id);
     recordMoment(history.engineRefusals, engine.id);
     relay.refuse();
@@ -126,7 +141,7 @@
       engine.bornAt += 1;
       if (!state.isClosing) relay.restore();
       registerServers();
-    }, CRASH_RESTART_MS);
+    }, restartMs);
   }
 
   function registerServers(): void {
@@ -154,6 +169,7 @@
       if (state.isClosing) return;
       const command = [`target/masticbend-${program}.cjs`, file];
       running.child = spawn(process.execPath, command, { stdio: ['ignore', log, log] });
+      recordMoment(history.entryStarts, running.address);
       running.child.once('exit', () => setTimeout(start, RESTART_DELAY_MS));
     };
     start();
--- a/packages/bench/src/soak/engine.ts
+++ b/packages/bench/src/soak/engine.ts
@@ -22,6 +22,12 @@
 const CRASH_DELAY_MS = 15;
 /** Part of a prompt that crashes each engine which begins an answer on it. */
 export const CRASHING_PART = 'c4a5';
+/** Start of the body of a request that crashes each engine which begins to run it. */
+export const CRASHING_BODY = 'crash';
+/** Time from the start of such a run to the crash, in milliseconds. */
+const RUN_CRASH_DELAY_RANGE_MS = [5, 150] as const;
+/** Fraction of such streams of which the head is sent before the crash. */
+const HEAD_BEFORE_CRASH_FRACTION = 0.5;
 /** Time to a non-streamed answer, in milliseconds. */
 const ANSWER_DELAY_MS = 30;
 
@@ -66,8 +72,8 @@
   rejections: string[];
   /** Start of the incarnation, as it is registered. */
   bornAt: number;
-  /** Handlers set by the owner: `crash` is called when the engine crashes. */
-  handlers: { crash: () => void };
+  /** Handlers set by the owner: `crash` is called with the part or body that crashes it. */
+  handlers: { crash: (cause: string) => void };
   /** Resets every open connection. */
   resetConnections: () => void;
   faults: EngineFaults;
@@ -96,7 +102,7 @@
   const arrivals: number[] = [];
   const rejections: string[] = [];
   const sockets = new Set<Socket>();
-  const handlers = { crash: () => {} };
+  const handlers: SoakEngine['handlers'] = { crash: () => {} };
   const faults: EngineFaults = {
     refusedFraction: 0,
     failedFraction: 0,
@@ -105,7 +111,7 @@
     isPaused: false,
   };
 
-  function answer(request: IncomingMessage, response: ServerResponse): void {
+  function answer(request: IncomingMessage, response: ServerResponse, body: string): void {
     const requestId = String(request.headers[REQUEST_ID_HEADER]);
     response.setHeader(REQUEST_ID_HEADER, requestId);
     if (request.headers[EXPECTED_SERVER_HEADER] !== id) {
@@ -133,7 +139,15 @@
     response.setHeader(SIGNATURE_HEADER, `stamp-${id}`);
     if (isCrashing) {
       response.flushHeaders();
-      setTimeout(() => handlers.crash(), CRASH_DELAY_MS);
+      setTimeout(() => handlers.crash(CRASHING_PART), CRASH_DELAY_MS);
+      return;
+    }
+    if (body.startsWith(CRASHING_BODY)) {
+      if (request.url!.includes('stream') && draw() < HEAD_BEFORE_CRASH_FRACTION) {
+        response.writeHead(200, { 'content-type': 'text/event-stream' }).flushHeaders();
+      }
+      const [least, most] = RUN_CRASH_DELAY_RANGE_MS;
+      setTimeout(() => handlers.crash(body), least + draw() * (most - least));
       return;
     }
     if (draw() < faults.failedFraction) response.writeHead(500).end('failed');
@@ -155,8 +169,11 @@
   }
 
   const server = createServer((request, response) => {
-    request.resume();
-    request.on('end', () => answer(request, response));
+    let body = '';
+    request.on('data', (bytes: Buffer) => {
+      body += bytes.toString();
+    });
+    request.on('end', () => answer(request, response, body));
   });
   server.on('connection', (socket) => {
     sockets.add(socket);
--- a/packages/bench/src/soak/faults.ts
+++ b/packages/bench/src/soak/faults.ts
@@ -84,7 +84,7 @@
 function stopGracefully(cluster: SoakCluster, draw: Draw): ActiveFault {
   const chosen = chooseOne(listProcesses(cluster), draw);
   chosen.child.kill('SIGTERM');
-  recordMoment(cluster.history.entryStops, chosen.address);
+  chosen.child.once('exit', startSpan(cluster.history.entryStops, chosen.address));
   return { name: `stop ${chosen.name}`, undo: () => undefined };
 }
 
@@ -103,9 +103,11 @@
 }
 
 function setStoreRelayModes(cluster: SoakCluster, draw: Draw): ActiveFault {
-  const relays = cluster.storeRelays.filter(() => draw() < 0.5);
+  const chosen = cluster.entries.filter(() => draw() < 0.5);
+  const relays = chosen.map((entry) => cluster.storeRelays[cluster.entries.indexOf(entry)]!);
   const mode = chooseOne(RELAY_FAULT_MODES, draw);
   for (const relay of relays) relay.setMode(mode);
+  const endFaults = startStoreFaults(cluster, chosen);
   return {
     name: `store ${mode} for ${relays.length} entries`,
     undo() {
@@ -113,10 +115,19 @@
         relay.setMode(RelayMode.Pass);
         relay.resetConnections();
       }
+      endFaults();
     },
   };
 }
 
+/** Records that entries cannot use the store; the returned function records the end of that. */
+function startStoreFaults({ history }: SoakCluster, entries: readonly SoakProcess[]): () => void {
+  const ends = entries.map(({ address }) => startSpan(history.storeFaults, address));
+  return () => {
+    for (const end of ends) end();
+  };
+}
+
 function setEngineRelayMode(cluster: SoakCluster, draw: Draw): ActiveFault {
   const index = Math.floor(draw() * cluster.engineRelays.length);
   const relay = cluster.engineRelays[index]!;
@@ -150,12 +161,14 @@
   if (kind === 0) faults.silent = true;
   else if (kind === 1) faults.status = draw() < 0.5 ? 503 : 429;
   else faults.loseAnswers = true;
+  const endFaults = startStoreFaults(cluster, cluster.entries);
   return {
     name: `store ${['silent', 'refusing', 'losing answers'][kind]}`,
     undo() {
       faults.silent = false;
       faults.status = undefined;
       faults.loseAnswers = false;
+      endFaults();
     },
   };
 }
--- a/packages/bench/src/soak/history.ts
+++ b/packages/bench/src/soak/history.ts
@@ -19,8 +19,12 @@
 export interface History {
   /** Entries were killed, or frozen for some time. */
   entryOutages: Span[];
-  /** Times at which entries got SIGTERM. */
+  /** Times from SIGTERM to the exit of entries. */
   entryStops: Span[];
+  /** Times at which entries were started again. */
+  entryStarts: Span[];
+  /** The store did not work, or an entry had no sound path to it; the name is that of the entry. */
+  storeFaults: Span[];
   /** Engines crashed, their connections were reset, or their links were harmed. */
   engineBreaks: Span[];
   /** Engines reset connections that were just opened; requests on these are not in `sent`. */
@@ -35,6 +39,8 @@
   return {
     entryOutages: [],
     entryStops: [],
+    entryStarts: [],
+    storeFaults: [],
     engineBreaks: [],
     engineRefusals: [],
     sent: [],
@@ -56,3 +62,8 @@
     span.to = Math.min(span.to, performance.now());
   };
 }
+
+/** Returns whether a span has a moment in common with the time from `start` to `end`. */
+export function isOverlapping({ from, to }: Span, start: number, end: number): boolean {
+  return from <= end && to >= start;
+}
--- a/packages/bench/src/soak/lost-answers.ts
+++ b/packages/bench/src/soak/lost-answers.ts
@@ -6,7 +6,7 @@
 import { BOUNDS } from './cluster.js';
 import type { Run } from './engine.js';
 import type { Observations } from './checks.js';
-import type { History, Span } from './history.js';
+import { isOverlapping, type History } from './history.js';
 
 /** Time after the deadline within which callers must have their answers, in milliseconds. */
 const ANSWER_TOLERANCE_MS = 500;
@@ -92,7 +92,3 @@
     endedAt <= stoppedAt + graceMs + CLOCK_TOLERANCE_MS
   );
 }
-
-function isOverlapping({ from, to }: Span, start: number, end: number): boolean {
-  return from <= end && to >= start;
-}
--- a/packages/bench/test/soak-checks.test.ts
+++ b/packages/bench/test/soak-checks.test.ts
@@ -2,7 +2,8 @@
 import { expect } from 'chai';
 import { findViolations, type Observations } from '@masticbend/bench/soak/checks';
 import type { CallRecord } from '@masticbend/bench/soak/callers';
-import type { Run } from '@masticbend/bench/soak/engine';
+import type { Crash } from '@masticbend/bench/soak/cluster';
+import { CRASHING_PART, type Run } from '@masticbend/bench/soak/engine';
 import { createHistory, type History } from '@masticbend/bench/soak/history';
 
 const NOTHING: Observations = {
@@ -32,6 +33,12 @@
 const LOST_CALL = { ...SERVED_CALL, endedAt: 11_000, status: 0, body: '', interrupted: true };
 const FAILED_CALL = { ...SERVED_CALL, endedAt: 11_000, status: 502, body: '' };
 
+const CRASHING_REQUEST = 'crash /again/';
+
+function createCrashes(times: readonly number[], cause: string): Crash[] {
+  return times.map((at) => ({ at, until: at + 700, cause }));
+}
+
 function createRuns(times: readonly number[]): Run[] {
   return times.map((startedAt, index) => ({
     request: `r${index}`,
@@ -44,13 +51,13 @@
 
 describe('checks of the soak test', () => {
   it('allow three runs with a part 3 s after the fifth crash under it', () => {
-    const crashes = [1, 2, 3, 4, 5];
+    const crashes = createCrashes([1, 2, 3, 4, 5], CRASHING_PART);
     const late = [3_006, 3_007, 3_008];
     const allowed = { ...NOTHING, crashes, faultFreeFrom: 0, runs: createRuns([10, 20, ...late]) };
     expect(findViolations(allowed)).to.deep.equal([]);
     const runs = createRuns([...late, 3_009]);
     expect(findViolations({ ...allowed, runs })).to.have.length(1);
-    expect(findViolations({ ...allowed, crashes: [1, 2, 3, 4], runs })).to.deep.equal([]);
+    expect(findViolations({ ...allowed, crashes: crashes.slice(1), runs })).to.deep.equal([]);
   });
 
   it('require that requests are served unless an engine crashes meanwhile', () => {
@@ -63,7 +70,11 @@
         status: 503,
         body: '',
       }));
-    const observed = { ...NOTHING, crashes: [1_000], faultFreeFrom: 0 };
+    const observed = {
+      ...NOTHING,
+      crashes: createCrashes([1_000], CRASHING_PART),
+      faultFreeFrom: 0,
+    };
     expect(findViolations({ ...observed, records: createCalls(980) })).to.deep.equal([]);
     expect(findViolations({ ...observed, records: createCalls(900) })).to.have.length(1);
     expect(findViolations({ ...observed, records: createCalls(2_000) })).to.have.length(1);
@@ -158,4 +169,69 @@
     expect(checkCall(LOST_CALL, stops(8_500))).to.have.length(1);
     expect(checkCall(LOST_CALL, stops(6_500))).to.have.length(1);
   });
+
+  /** Checks arrivals of a crashing request, which crashed three engines until 3 s. */
+  function checkArrivals(times: readonly number[], observed: Partial<Observations> = {}): string[] {
+    const crashingBody = CRASHING_REQUEST;
+    const runs = createRuns(times).map((run) => ({ ...run, isCrashing: false }));
+    const sent = runs.map(({ request, server, startedAt }) => ({
+      request,
+      engine: server,
+      at: startedAt,
+    }));
+    return findViolations({
+      ...NOTHING,
+      records: runs.map(({ request: id }) => ({ ...FAILED_CALL, id, status: 400, crashingBody })),
+      runs,
+      crashes: createCrashes([1_000, 2_000, 3_000], CRASHING_REQUEST),
+      ...observed,
+      history: { ...createHistory(), sent, ...observed.history },
+    });
+  }
+
+  // A call without a prompt crashed one engine after another, until none was left.
+  it('allow three arrivals of a request 3 s after the third crash under it', () => {
+    const late = [6_010, 6_020, 6_030];
+    expect(checkArrivals([5_900, 5_990, ...late])).to.deep.equal([]);
+    expect(checkArrivals([...late, 6_040])).to.have.length(1);
+    const others = [
+      ...createCrashes([2_000, 3_000], CRASHING_REQUEST),
+      ...createCrashes([1_000], CRASHING_PART),
+      ...createCrashes([1_000], 'crash /stream/'),
+    ];
+    expect(checkArrivals([...late, 6_040], { crashes: others })).to.deep.equal([]);
+    expect(checkArrivals([...late, 6_040], { crashes: [...others, ...others] })).to.have.length(1);
+  });
+
+  it('count arrivals that engines refuse, but not requests that are lost on the way', () => {
+    const late = [6_010, 6_020, 6_030, 6_040];
+    expect(checkArrivals(late, { runs: [] })).to.deep.equal([]);
+    const rejections = ['r0', 'r1', 'r2', 'r3'];
+    expect(checkArrivals(late, { runs: [], rejections })).to.have.length(1);
+  });
+
+  it('count arrivals from entries that could know of the crashes', () => {
+    const late = [6_010, 6_020, 6_030, 6_040];
+    const kinds = ['entryOutages', 'entryStops', 'entryStarts', 'storeFaults'] as const;
+    const check = (kind: (typeof kinds)[number], name: string, from: number) => {
+      const history = { ...createHistory(), [kind]: [{ name, from, to: from }] };
+      const { sent, ...disturbed } = history;
+      return checkArrivals(late, { history: disturbed as History });
+    };
+    for (const kind of kinds) {
+      expect(check(kind, 'entry-0', 3_100)).to.deep.equal([]);
+      expect(check(kind, 'entry-0', 2_900)).to.have.length(1);
+      expect(check(kind, 'entry-1', 3_100)).to.have.length(1);
+    }
+  });
+
+  it('require that no sound request is refused for good', () => {
+    const refused = { ...FAILED_CALL, status: 400 };
+    expect(checkCall(refused)).to.have.length(1);
+    expect(checkCall({ ...refused, crashingBody: CRASHING_REQUEST })).to.deep.equal([]);
+    expect(checkCall({ ...refused, isCrashing: true })).to.deep.equal([]);
+    for (const status of [401, 408, 421, 429, 503]) {
+      expect(checkCall({ ...refused, status })).to.deep.equal([]);
+    }
+  });
 });
