A request is tried only where a trial of all its blocked suspects is due

A request that was blocked itself was also sent as the trial of a part of its prompt with more crashes, and its crash then counted as a failed trial of that part, so that sound requests got a final refusal. Of several blocked suspects one whose trial is not due now decides, and a trial counts for the whole request first. The new test of the crash watch failed before (a1 in place of the request) and passes.

--- a/packages/gateway/src/crash-watch.ts
+++ b/packages/gateway/src/crash-watch.ts
@@ -45,7 +45,10 @@
 
 /** Evidence of one entry, as the request handling uses it. */
 export interface CrashWatch {
-  /** Returns the suspect for which a request must not be sent. */
+  /**
+   * Returns the suspect for which a request must not be sent; of several, one that may not be tried
+   * yet. A request may be tried only where this holds for all its blocked suspects.
+   */
   findBlocked: (request: SuspectedRequest) => string | undefined;
   /** Returns whether a blocked suspect has crashed a server on trial as well. */
   isConfirmed: (suspect: string) => boolean;
@@ -169,6 +172,11 @@
     return evidence.countCrashes(suspect) > 0;
   }
 
+  function isTrialDue(suspect: string): boolean {
+    const turn = rankNames(suspect, [self, ...listLive()]).indexOf(self);
+    return evidence.isTrialDue(clock.now() - turn * TRIAL_TURN_MS, suspect);
+  }
+
   function recordCrash(server: BackendServer, lost: ReadonlySet<string>): void {
     const crash = formatCrash(server);
     const parts = [...lost].filter((suspect) => !isRequestSuspect(suspect));
@@ -192,12 +200,12 @@
   }
 
   return {
-    findBlocked: (request) => evidence.findBlocked(clock.now(), listSuspects(request)),
-    isConfirmed: evidence.isConfirmed,
-    isTrialDue(suspect) {
-      const turn = rankNames(suspect, [self, ...listLive()]).indexOf(self);
-      return evidence.isTrialDue(clock.now() - turn * TRIAL_TURN_MS, suspect);
+    findBlocked(request) {
+      const blocking = evidence.listBlocking(clock.now(), listSuspects(request));
+      return blocking.find((suspect) => !isTrialDue(suspect)) ?? blocking[0];
     },
+    isConfirmed: evidence.isConfirmed,
+    isTrialDue,
     recordTrial(suspect) {
       log.info(LogEvent.SuspectTried, { suspect });
       outbox.add(evidence.addTrial(clock.now(), suspect));
--- a/packages/gateway/test/crash-watch.test.ts
+++ b/packages/gateway/test/crash-watch.test.ts
@@ -147,6 +147,21 @@
     expect(sent.at(-1)?.crashes).to.deep.equal(['s1@1 s2@1']);
   });
 
+  // A request that was blocked itself was sent as the trial of a part of its prompt.
+  it('tries a request only where a trial of all its blocked suspects is due', () => {
+    const { clock, watch, createRequest } = createWatch();
+    const bad = createRequest(9, 'bad', ['a1']);
+    for (const server of [1, 2, 3]) watch.recordLoss(createRequest(server, 'bad', ['a1']));
+    for (const server of [4, 5, 6, 7])
+      watch.recordLoss(createRequest(server, `d${server}`, ['a1']));
+    clock.advance(FOUND_MS);
+    watch.recordTrial('request:bad');
+    clock.advance(FOUND_MS);
+    expect(watch.isTrialDue('a1')).to.equal(true);
+    expect(watch.findBlocked(bad)).to.equal('request:bad');
+    expect(watch.isTrialDue('request:bad')).to.equal(false);
+  });
+
   // Entries are replaced one by one, so that those of the build before send messages meanwhile.
   it('reads the evidence of entries of an earlier build', () => {
     const { clock, watch, createRequest } = createWatch();
--- a/packages/scheduling/src/crash-evidence.ts
+++ b/packages/scheduling/src/crash-evidence.ts
@@ -50,11 +50,11 @@
   hasSuspectedRequests: (now: number) => boolean;
   hasCrash: (crash: string) => boolean;
   /**
-   * Returns the suspect for which a request with these suspects is blocked; of several, the one
-   * with the most crashes. Where a blocked suspect that the request lacks explains the crashes of a
-   * part, the part does not block the request.
+   * Returns the suspects for which a request with these suspects is blocked: whole requests first,
+   * then by the number of crashes. Where a blocked suspect that the request lacks explains the
+   * crashes of a part, the part does not block the request.
    */
-  findBlocked: (now: number, suspects: readonly string[]) => string | undefined;
+  listBlocking: (now: number, suspects: readonly string[]) => string[];
   /** Returns whether a blocked suspect has crashed a server on trial as well. */
   isConfirmed: (suspect: string) => boolean;
   /** Returns whether one request may show whether a blocked suspect still crashes servers. */
@@ -200,8 +200,8 @@
       return requests.size > 0;
     },
     hasCrash: (crash) => listRecords().some(([, { crashes }]) => crashes.has(crash)),
-    findBlocked(now, suspects) {
-      if (suspects.every((suspect) => findRecord(suspect) === undefined)) return undefined;
+    listBlocking(now, suspects) {
+      if (suspects.every((suspect) => findRecord(suspect) === undefined)) return [];
       const blocked = listBlocked(now);
       const own = new Set(suspects);
       const others = blocked.filter(([suspect]) => !own.has(suspect)).map(([, record]) => record);
@@ -211,8 +211,12 @@
           ([suspect, record]) =>
             isRequestSuspect(suspect) || !others.some((other) => isExplainedBy(record, other)),
         )
-        .sort(([, left], [, right]) => listOpen(right).length - listOpen(left).length);
-      return found[0]?.[0];
+        .sort(([, left], [, right]) => countOpen(right) - countOpen(left))
+        .map(([suspect]) => suspect);
+      return [
+        ...found.filter(isRequestSuspect),
+        ...found.filter((suspect) => !isRequestSuspect(suspect)),
+      ];
     },
     isConfirmed: (suspect) => (findRecord(suspect)?.failedTrials ?? 0) > 0,
     isTrialDue(now, suspect) {
--- a/packages/scheduling/test/crash-evidence.test.ts
+++ b/packages/scheduling/test/crash-evidence.test.ts
@@ -26,17 +26,17 @@
   it('blocks a part after three crashes, once they have settled', () => {
     const evidence = createCrashEvidence();
     addCrashes(evidence, ['s1', 's2'], ['bad']);
-    expect(evidence.findBlocked(SETTLING_MS, ['bad'])).to.equal(undefined);
+    expect(evidence.listBlocking(SETTLING_MS, ['bad'])[0]).to.equal(undefined);
     addCrashes(evidence, ['s3'], ['bad']);
-    expect(evidence.findBlocked(SETTLING_MS - 1, ['bad'])).to.equal(undefined);
-    expect(evidence.findBlocked(SETTLING_MS, ['other', 'bad'])).to.equal('bad');
-    expect(evidence.findBlocked(SETTLING_MS, ['other'])).to.equal(undefined);
+    expect(evidence.listBlocking(SETTLING_MS - 1, ['bad'])[0]).to.equal(undefined);
+    expect(evidence.listBlocking(SETTLING_MS, ['other', 'bad'])[0]).to.equal('bad');
+    expect(evidence.listBlocking(SETTLING_MS, ['other'])[0]).to.equal(undefined);
   });
 
   it('counts a server once, whoever reports it', () => {
     const evidence = createCrashEvidence();
     addCrashes(evidence, ['s1', 's1', 's1', 's1'], ['bad']);
-    expect(evidence.findBlocked(SETTLING_MS, ['bad'])).to.equal(undefined);
+    expect(evidence.listBlocking(SETTLING_MS, ['bad'])[0]).to.equal(undefined);
   });
 
   it('is refuted by a sound answer, also for a late report of the same crash', () => {
@@ -44,7 +44,7 @@
     addCrashes(evidence, ['s1', 's2', 's3'], ['shared']);
     expect(evidence.addSound(SETTLING_MS, ['shared', 'unknown'])).to.have.length(1);
     addCrashes(evidence, ['s1', 's2', 's3'], ['shared']);
-    expect(evidence.findBlocked(2 * SETTLING_MS, ['shared'])).to.equal(undefined);
+    expect(evidence.listBlocking(2 * SETTLING_MS, ['shared'])[0]).to.equal(undefined);
     expect(evidence.countCrashes('shared')).to.equal(0);
   });
 
@@ -52,38 +52,38 @@
   it('does not block a request that lacks a part which explains the same crashes', () => {
     const evidence = createCrashEvidence();
     addCrashes(evidence, ['s1', 's2', 's3'], ['victim', 'bad']);
-    expect(evidence.findBlocked(SETTLING_MS, ['victim'])).to.equal(undefined);
-    expect(evidence.findBlocked(SETTLING_MS, ['victim', 'bad'])).to.equal('victim');
+    expect(evidence.listBlocking(SETTLING_MS, ['victim'])[0]).to.equal(undefined);
+    expect(evidence.listBlocking(SETTLING_MS, ['victim', 'bad'])[0]).to.equal('victim');
     addCrashes(evidence, ['s4'], ['victim']);
-    expect(evidence.findBlocked(SETTLING_MS, ['victim'])).to.equal(undefined);
+    expect(evidence.listBlocking(SETTLING_MS, ['victim'])[0]).to.equal(undefined);
     addCrashes(evidence, ['s5'], ['victim']);
-    expect(evidence.findBlocked(SETTLING_MS, ['victim'])).to.equal('victim');
-    expect(evidence.findBlocked(SETTLING_MS, ['bad'])).to.equal(undefined);
+    expect(evidence.listBlocking(SETTLING_MS, ['victim'])[0]).to.equal('victim');
+    expect(evidence.listBlocking(SETTLING_MS, ['bad'])[0]).to.equal(undefined);
   });
 
   it('blocks two parts that crash servers at the same time', () => {
     const evidence = createCrashEvidence();
     addCrashes(evidence, ['s1', 's2', 's3'], ['bad-1']);
     addCrashes(evidence, ['s4', 's5', 's6'], ['bad-2']);
-    expect(evidence.findBlocked(SETTLING_MS, ['bad-1'])).to.equal('bad-1');
-    expect(evidence.findBlocked(SETTLING_MS, ['bad-2'])).to.equal('bad-2');
+    expect(evidence.listBlocking(SETTLING_MS, ['bad-1'])[0]).to.equal('bad-1');
+    expect(evidence.listBlocking(SETTLING_MS, ['bad-2'])[0]).to.equal('bad-2');
   });
 
   // Two requests that crash the same servers would otherwise excuse each other.
   it('blocks whole requests whatever else explains their crashes', () => {
     const evidence = createCrashEvidence();
     addCrashes(evidence, ['s1', 's2', 's3'], [REQUEST, OTHER_REQUEST, 'part']);
-    expect(evidence.findBlocked(SETTLING_MS, [REQUEST])).to.equal(REQUEST);
-    expect(evidence.findBlocked(SETTLING_MS, [OTHER_REQUEST])).to.equal(OTHER_REQUEST);
+    expect(evidence.listBlocking(SETTLING_MS, [REQUEST])[0]).to.equal(REQUEST);
+    expect(evidence.listBlocking(SETTLING_MS, [OTHER_REQUEST])[0]).to.equal(OTHER_REQUEST);
   });
 
   // A request that crashes servers would have the parts that it shares with others refused.
   it('does not block parts in other requests that one whole request explains', () => {
     const evidence = createCrashEvidence();
     addCrashes(evidence, ['s1', 's2', 's3'], ['part', REQUEST]);
-    expect(evidence.findBlocked(SETTLING_MS, ['part', OTHER_REQUEST])).to.equal(undefined);
+    expect(evidence.listBlocking(SETTLING_MS, ['part', OTHER_REQUEST])[0]).to.equal(undefined);
     addCrashes(evidence, ['s4', 's5'], ['part', OTHER_REQUEST]);
-    expect(evidence.findBlocked(SETTLING_MS, ['part'])).to.equal('part');
+    expect(evidence.listBlocking(SETTLING_MS, ['part'])[0]).to.equal('part');
   });
 
   // A trial whose end is not known, such as one that its caller gave up, may have crashed a server.
@@ -138,8 +138,8 @@
     left.merge(0, fromRight);
     right.merge(0, fromLeft);
     for (const evidence of [left, right]) {
-      expect(evidence.findBlocked(SETTLING_MS, ['bad'])).to.equal('bad');
-      expect(evidence.findBlocked(SETTLING_MS, ['shared'])).to.equal(undefined);
+      expect(evidence.listBlocking(SETTLING_MS, ['bad'])[0]).to.equal('bad');
+      expect(evidence.listBlocking(SETTLING_MS, ['shared'])[0]).to.equal(undefined);
     }
   });
 
@@ -185,7 +185,7 @@
     }
     expect(evidence.list().length).to.be.at.most(MAX_PARTS);
     for (const { crashes } of evidence.list()) expect(crashes.length).to.be.at.most(12);
-    expect(evidence.findBlocked(1e6, ['bad'])).to.equal('bad');
+    expect(evidence.listBlocking(1e6, ['bad'])[0]).to.equal('bad');
   });
 
   it('keeps whole requests and parts apart when callers vary bodies at will', () => {
@@ -195,7 +195,7 @@
       evidence.addCrash(index, `t${index}`, [formatRequestSuspect(`v${index}`)]);
     }
     expect(evidence.list().length).to.be.at.most(MAX_REQUESTS + 1);
-    expect(evidence.findBlocked(1e6, [REQUEST])).to.equal(REQUEST);
+    expect(evidence.listBlocking(1e6, [REQUEST])[0]).to.equal(REQUEST);
     expect(evidence.countCrashes('part')).to.equal(3);
   });
 
@@ -211,7 +211,7 @@
     const evidence = createCrashEvidence();
     addCrashes(evidence, ['s1', 's2'], ['rare']);
     evidence.addCrash(700_000, 's3', ['rare']);
-    expect(evidence.findBlocked(800_000, ['rare'])).to.equal(undefined);
+    expect(evidence.listBlocking(800_000, ['rare'])[0]).to.equal(undefined);
   });
 });
 
