--- a/packages/gateway/test/crash-watch.test.ts
+++ b/packages/gateway/test/crash-watch.test.ts
@@ -152,7 +152,9 @@
     const { clock, watch, createRequest } = createWatch();
     const bad = createRequest(9, 'bad', ['a1']);
     for (const server of [1, 2, 3]) watch.recordLoss(createRequest(server, 'bad', ['a1']));
-    for (const server of [4, 5, 6, 7]) watch.recordLoss(createRequest(server, `d${server}`, ['a1']));
+    for (const server of [4, 5, 6, 7]) {
+      watch.recordLoss(createRequest(server, `d${server}`, ['a1']));
+    }
     clock.advance(FOUND_MS);
     watch.recordTrial('request:bad');
     clock.advance(FOUND_MS);
