A lost connection counts against a request only until its server accepts another one

Requests with the same path, caller and body that had lost connections to two servers within 3 s were not repeated, although these servers went on serving. Cause: a loss counted as a possible crash until the last probe. It now counts until the server accepts a connection; crashes that are found later count as before.

--- a/packages/gateway/src/server-losses.ts
+++ b/packages/gateway/src/server-losses.ts
@@ -30,7 +30,7 @@
 export interface ServerLosses {
   add: (server: BackendServer, suspects: readonly string[]) => void;
   hasAny: () => boolean;
-  /** Returns the number of servers that were lost with a suspect. */
+  /** Returns the number of servers that were lost with a suspect and did not accept since. */
   count: (suspect: string) => number;
 }
 
@@ -39,17 +39,25 @@
   const { probe, isCrashed, startTimer, onCrash } = options;
   /** Suspects by the incarnation with which they were lost. */
   const lost = new Map<string, Set<string>>();
+  /** Incarnations of `lost` whose addresses accepted a connection since. */
+  const accepting = new Set<string>();
+
+  function drop(crash: string): void {
+    lost.delete(crash);
+    accepting.delete(crash);
+  }
 
   function probeServer(server: BackendServer, suspects: Set<string>, round = 0): void {
     const crash = formatCrash(server);
     probe(server, (isRefused) => {
+      if (!isRefused) accepting.add(crash);
       const registration = options.getRegistration(server);
       const [afterMs, nextMs] = PROBE_AFTER_MS.slice(round, round + 2);
       if (isRefused || registration === Registration.Gone || isCrashed(server)) {
-        lost.delete(crash);
+        drop(crash);
         onCrash(server, suspects);
       } else if (nextMs === undefined || registration === Registration.Leaving) {
-        lost.delete(crash);
+        drop(crash);
       } else {
         startTimer(nextMs - afterMs!, () => probeServer(server, suspects, round + 1));
       }
@@ -68,7 +76,10 @@
       probeServer(server, all);
     },
     hasAny: () => lost.size > 0,
-    count: (suspect) => [...lost.values()].filter((suspects) => suspects.has(suspect)).length,
+    count(suspect) {
+      const found = [...lost].filter(([, suspects]) => suspects.has(suspect));
+      return found.filter(([crash]) => !accepting.has(crash)).length;
+    },
   };
 }
 
--- a/packages/gateway/test/crash-watch.test.ts
+++ b/packages/gateway/test/crash-watch.test.ts
@@ -87,6 +87,17 @@
     expect(watch.isRepeatSafe(createRequest(9, 'd2'))).to.equal(true);
   });
 
+  // Callers that sent the same request lost its repeats wherever connections broke without a crash.
+  it('lets an entry repeat a request whose servers accept connections after their losses', () => {
+    const { clock, state, watch, createRequest } = createWatch();
+    state.isRefused = false;
+    for (const server of [1, 2, 3]) {
+      watch.recordLoss(createRequest(server));
+      expect(watch.isRepeatSafe(createRequest(9))).to.equal(true);
+      clock.advance(SETTLED_MS);
+    }
+  });
+
   // The digest of a large body takes time on each request.
   it('computes no digest while no server has crashed', () => {
     const { watch, observed, createRequest } = createWatch();
