Known faults: requests that an entry reads late

Three tests of callers that an entry reads late: on a kept connection, on connections that wait to be accepted, and the time that such a wait takes from a request.

--- /dev/null
+++ b/packages/gateway/test/late-reads.test.ts
@@ -0,0 +1,114 @@
+/** Requests that an entry short of processor time reads long after they were sent. */
+import { once } from 'node:events';
+import { expect } from 'chai';
+import { createSystemClock } from '@masticbend/kernel/clock';
+import { createSilentLogger } from '@masticbend/kernel/log';
+import { DEFAULT_CALLER_LIMITS } from '@masticbend/settings/routing';
+import { reservePorts } from '@masticbend/standins/ports';
+import { formatAnswer } from './backend.js';
+import { createIngress, type Ingress } from '../src/ingress.js';
+import { startDeployment, waitFor, waitUntil, type Deployment } from './harness.js';
+import { dialEntry, formatRequest, listStatuses } from './raw-caller.js';
+
+/** Time for which a process handles no event. */
+const BUSY_MS = 100;
+/** Time in which a request that was passed on reaches its server. */
+const SETTLING_MS = 100;
+const CALLERS = 20;
+/** Processor time of each request of a burst. */
+const WORK_MS = 20;
+const BURST_CALLERS = 40;
+
+/** Keeps the process from handling events. */
+function runFor(durationMs: number): void {
+  const end = performance.now() + durationMs;
+  while (performance.now() < end);
+}
+
+describe('an entry that reads requests late', () => {
+  let deployment: Deployment;
+
+  function countArrivals(): number {
+    return deployment.backends[0]!.arrivals.length;
+  }
+
+  async function start(): Promise<void> {
+    deployment = await startDeployment([({ socket }) => socket.write(formatAnswer(200, 'done'))]);
+    // An open connection to the server carries the next request at once.
+    await deployment.call('/once/a');
+    expect(countArrivals()).to.equal(1);
+  }
+
+  afterEach(() => deployment.close());
+
+  // A request was sent to a server although the close behind it had arrived with it.
+  it('does not pass on what the caller of a kept connection has left', async () => {
+    await start();
+    const caller = dialEntry(deployment.settings.callerAddress);
+    caller.socket.write(formatRequest({ id: 'a2' }));
+    await waitUntil(() => listStatuses(caller).length === 1);
+    caller.socket.write(formatRequest({ id: 'a3' }));
+    caller.socket.destroy();
+    runFor(BUSY_MS);
+    await waitFor(SETTLING_MS);
+    expect(countArrivals()).to.equal(2);
+  });
+
+  // The same with connections that wait to be accepted, of which one is taken in each turn.
+  it('does not pass on what callers have left before they were accepted', async () => {
+    await start();
+    const callers = Array.from({ length: CALLERS }, () =>
+      dialEntry(deployment.settings.callerAddress),
+    );
+    await Promise.all(callers.map(({ socket }) => once(socket, 'connect')));
+    callers.forEach(({ socket }, index) => {
+      socket.write(formatRequest({ id: `b${index}` }));
+      socket.destroy();
+    });
+    runFor(BUSY_MS);
+    await waitFor(SETTLING_MS);
+    expect(countArrivals()).to.equal(1);
+  });
+});
+
+describe('an entry with connections that wait to be accepted', () => {
+  let ingress: Ingress;
+
+  afterEach(() => ingress.stop());
+
+  // Seconds of waiting did not count: requests past their time limit were placed as new ones.
+  it('counts the wait of a connection as time of its request', async () => {
+    const clock = createSystemClock();
+    const [port] = await reservePorts(1);
+    const waits: number[] = [];
+    let sentAt = Infinity;
+    ingress = createIngress({
+      address: `127.0.0.1:${port}`,
+      clock,
+      log: createSilentLogger(),
+      requests: {
+        accept({ arrivedAt }, createDelivery) {
+          runFor(WORK_MS);
+          waits.push(arrivedAt - sentAt);
+          createDelivery({
+            abandon: () => undefined,
+            refuseUnsent: () => undefined,
+            wasSent: () => false,
+          }).answer(200, {}, Buffer.from('done'));
+        },
+      },
+      getLimits: () => DEFAULT_CALLER_LIMITS,
+    });
+    await ingress.start();
+    sentAt = clock.now();
+    const callers = Array.from({ length: BURST_CALLERS }, (_each, index) => {
+      const caller = dialEntry(`127.0.0.1:${port}`);
+      caller.socket.write(formatRequest({ id: `c${index}` }));
+      return caller;
+    });
+    await waitUntil(() => callers.every((caller) => listStatuses(caller).length === 1));
+    // All were sent together, and the last one was read after the work for all others.
+    expect(Math.max(...waits)).to.be.below((BURST_CALLERS * WORK_MS) / 2);
+    for (const { socket } of callers) socket.destroy();
+  });
+});
