Show how far an entry is behind

An entry that is short of processor time gave no sign of it: neither a line nor a metric told how long callers' connections wait until they are accepted, nor from whom and how old a configuration was when it was applied. The hypotheses of the incident could not be told apart.

libuv accepts one connection a turn of the event loop. A turn without one shows that none waits; after 100 ms of turns with one each, the entry opens connections to its own port at 200 ms intervals and measures their wait. entry-behind and entry-caught-up, masticbend_accept_wait_ms, and peer and ageMs in configuration-applied. In late-reads.test.ts, 40 requests of 20 ms each show a wait above 400 ms, and requests without work show nothing.

--- /dev/null
+++ b/packages/gateway/src/accept-monitor.ts
@@ -0,0 +1,123 @@
+/**
+ * Measures how long callers' connections wait until they are accepted, and reports when the entry
+ * falls behind and when it has caught up. The estimate is in `accept-wait.ts`.
+ */
+import type { Socket } from 'node:net';
+import { performance } from 'node:perf_hooks';
+import type { Clock } from '@masticbend/kernel/clock';
+import { LogEvent, type Logger } from '@masticbend/kernel/log';
+import { createAcceptWait } from '@masticbend/scheduling/accept-wait';
+import { parseAddress } from '@masticbend/settings/address';
+import { dialSocket } from './network.js';
+
+/** Timeout of a probe, which the system drops where its queue is full. */
+const DIAL_TIMEOUT_MS = 500;
+
+/** Wait of the callers' connections. */
+export interface AcceptMonitor {
+  /** Takes an accepted connection; returns whether it is a probe, which it closes. */
+  takeProbe: (socket: Socket) => boolean;
+  /** Time that a connection which is accepted now has waited at least, in milliseconds. */
+  getWaitMs: () => number;
+  /** Returns whether connections wait too long for callers to be served. */
+  isBehind: () => boolean;
+  stop: () => void;
+}
+
+interface Probe {
+  socket: Socket;
+  openedAt: number;
+}
+
+/** Dependencies of the monitor. */
+export interface AcceptMonitorOptions {
+  /** Caller address as `IP:port`. */
+  address: string;
+  clock: Clock;
+  log: Logger;
+}
+
+/** Returns a monitor of a server that has accepted nothing yet. */
+export function createAcceptMonitor({ address, clock, log }: AcceptMonitorOptions): AcceptMonitor {
+  const { host, port } = parseAddress(address);
+  const wait = createAcceptWait();
+  /** Probes that wait to be accepted, by their local port. */
+  const waiting = new Map<number, Probe>();
+  let isDialling = false;
+  /** Connections that were accepted while the last probe was being opened, by remote port. */
+  const accepted = new Map<number, Socket>();
+  let behindSince: number | undefined;
+  let maxWaitMs = 0;
+
+  function openProbe(): void {
+    isDialling = true;
+    accepted.clear();
+    dialSocket(clock, { host, port, timeoutMs: DIAL_TIMEOUT_MS }, addProbe, () => {
+      isDialling = false;
+    });
+  }
+
+  function addProbe(socket: Socket): void {
+    const { localPort = 0 } = socket;
+    const ownEnd = accepted.get(localPort);
+    accepted.clear();
+    if (ownEnd) {
+      ownEnd.destroy();
+      socket.destroy();
+      return;
+    }
+    const openedAt = clock.now();
+    waiting.set(localPort, { socket, openedAt });
+    wait.recordProbeOpened(openedAt);
+    socket.unref();
+    socket.once('close', () => finishProbe(localPort));
+  }
+
+  function finishProbe(localPort: number): void {
+    const probe = waiting.get(localPort);
+    if (!probe) return;
+    waiting.delete(localPort);
+    wait.recordProbeEnded(probe.openedAt);
+    probe.socket.destroy();
+    update(clock.now());
+  }
+
+  function update(now: number): boolean {
+    const isBehind = wait.updateBehind(now);
+    maxWaitMs = Math.max(maxWaitMs, wait.getWaitMs(now));
+    if (isBehind && behindSince === undefined) {
+      behindSince = now;
+      log.warn(LogEvent.EntryBehind, { waitMs: Math.round(wait.getWaitMs(now)) });
+    } else if (!isBehind && behindSince !== undefined) {
+      const forMs = Math.round(now - behindSince);
+      behindSince = undefined;
+      log.info(LogEvent.EntryCaughtUp, { forMs, maxWaitMs: Math.round(maxWaitMs) });
+    }
+    if (!isBehind) maxWaitMs = 0;
+    return isBehind;
+  }
+
+  return {
+    takeProbe(socket) {
+      const now = clock.now();
+      wait.recordAccepted(now, performance.nodeTiming.uvMetricsInfo.loopCount);
+      update(now);
+      if (!isDialling && waiting.size === 0 && !wait.isProbeDue(now)) return false;
+      const { remotePort = 0, remoteAddress } = socket;
+      const probe = waiting.get(remotePort);
+      if (probe?.socket.localAddress === remoteAddress && remoteAddress !== undefined) {
+        finishProbe(remotePort);
+        socket.destroy();
+        return true;
+      }
+      if (isDialling) accepted.set(remotePort, socket);
+      else if (wait.isProbeDue(now)) openProbe();
+      return false;
+    },
+    getWaitMs: () => wait.getWaitMs(clock.now()),
+    isBehind: () => update(clock.now()),
+    stop() {
+      for (const { socket } of [...waiting.values()]) socket.destroy();
+    },
+  };
+}
--- a/packages/gateway/src/administration.ts
+++ b/packages/gateway/src/administration.ts
@@ -44,6 +44,9 @@
   return {
     async start() {
       metrics.registerGauge(Metric.OpenRequests, kernel.find('requests').countOpen);
+      metrics.registerGauge(Metric.AcceptWait, () =>
+        Math.round(kernel.find('ingress').getAcceptWaitMs()),
+      );
       metrics.registerGauge(Metric.HeldBytes, kernel.find('ingress').countHeldBytes);
       metrics.registerGauge(Metric.ConfigurationRevision, () =>
         Number(view.getView()?.configuration.version ?? 0),
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -11,6 +11,7 @@
 import { ErrorKind, type Failure } from '@masticbend/protocol/error';
 import type { HeldBounds } from '@masticbend/scheduling/held-bytes';
 import { DEFAULT_CALLER_LIMITS, type CallerLimits } from '@masticbend/settings/routing';
+import { createAcceptMonitor } from './accept-monitor.js';
 import { createBoundedReaders } from './bounded-readers.js';
 import {
   createCallerConnection,
@@ -69,6 +70,8 @@
   closeIdle: () => void;
   /** Requests whose answers have not been sent, whether their bodies were read or not. */
   countOpen: () => number;
+  /** Time that a connection which is accepted now has waited at least, in milliseconds. */
+  getAcceptWaitMs: () => number;
   /** Bytes held for callers; 0 where they are not bounded. */
   countHeldBytes: () => number;
   /** Stops listening, refuses the requests still being read, and closes all connections. */
@@ -83,6 +86,7 @@
   /** Time from which requests that have just been read are refused. */
   let refusesReadAt = Infinity;
   const connections = new Map<Socket, CallerConnection>();
+  const monitor = createAcceptMonitor(options);
   const readers =
     options.heldBounds &&
     createBoundedReaders({
@@ -101,6 +105,7 @@
   }
 
   function acceptConnection(socket: Socket): void {
+    if (monitor.takeProbe(socket)) return;
     connections.set(socket, createCallerConnection({ clock, log, refuseUnread }, socket));
     socket.once('close', () => connections.delete(socket));
   }
@@ -232,8 +237,10 @@
     closeIdle,
     countOpen: () =>
       [...connections.values()].reduce((sum, connection) => sum + connection.countOpen(), 0),
+    getAcceptWaitMs: monitor.getWaitMs,
     countHeldBytes: () => readers?.countBytes() ?? 0,
     async stop() {
+      monitor.stop();
       readers?.stop();
       isStopping = true;
       isRefusing = true;
--- a/packages/gateway/src/table-feed.ts
+++ b/packages/gateway/src/table-feed.ts
@@ -33,12 +33,20 @@
 export const ReadRole = { Own: 'own', ForOthers: 'for-others', FromPeers: 'from-peers' } as const;
 export type ReadRole = (typeof ReadRole)[keyof typeof ReadRole];
 
+/** Where the rows of a read came from. */
+export interface RowSource {
+  /** Name of the peer that gave them; undefined for the store. */
+  peer?: string;
+  /** Time since the store was asked for them, in milliseconds. */
+  ageMs: number;
+}
+
 /** Events of a feed. */
 export interface FeedEvents {
   /** All rows of the table. */
-  onTable: (rows: readonly StoreRow[]) => void;
+  onTable: (rows: readonly StoreRow[], source: RowSource) => void;
   /** Rows changed or deleted since the last read. */
-  onChanges: (rows: readonly StoreRow[]) => void;
+  onChanges: (rows: readonly StoreRow[], source: RowSource) => void;
   /** Called on the first successful read after failed ones, before its rows are reported. */
   onReconnected?: () => void;
   /** Called when the store was restored from an older copy, before its rows are reported. */
@@ -118,14 +126,15 @@
       : intervalMs;
   }
 
-  function applyRows(read: StoreRows): void {
-    const { rows, revision: nextRevision } = read;
+  function applyRows(read: StoreRows, sentAt: number): void {
+    const { rows, revision: nextRevision, peer } = read;
+    const source = { peer, ageMs: getElapsed() - sentAt };
     const isFullTable = revision === undefined;
     if (isFullTable) copy.setAll(read);
     else copy.apply(read);
     revision = Math.max(revision ?? 0, nextRevision);
-    if (isFullTable) events.onTable(rows);
-    else if (rows.length > 0) events.onChanges(rows);
+    if (isFullTable) events.onTable(rows, source);
+    else if (rows.length > 0) events.onChanges(rows, source);
   }
 
   function recordFailure(reason: string): void {
@@ -188,8 +197,9 @@
     const rows = takeRows(result);
     if (!rows) return 0;
     recordAnswer();
-    applyRows(rows);
-    recordConfirmation(sentAt - (rows.ageMs ?? 0));
+    const askedAt = sentAt - (rows.ageMs ?? 0);
+    applyRows(rows, askedAt);
+    recordConfirmation(askedAt);
     events.onRead?.();
     return chooseDelayMs(sentAt, chooseIntervalMs(rows));
   }
--- a/packages/gateway/src/table-relay.ts
+++ b/packages/gateway/src/table-relay.ts
@@ -194,6 +194,7 @@
           era: message.era,
           storeTimeMs: 0,
           ageMs: message.ageMs,
+          peer,
         },
       };
     },
--- a/packages/gateway/src/view-service.ts
+++ b/packages/gateway/src/view-service.ts
@@ -16,7 +16,7 @@
 import { updateAgents } from './servers-service.js';
 import type { GatewayServices, ViewService } from './services.js';
 import type { GatewaySettings } from './settings.js';
-import { createTableFeed, READ_INTERVAL_FRACTION } from './table-feed.js';
+import { createTableFeed, READ_INTERVAL_FRACTION, type RowSource } from './table-feed.js';
 
 /** Fraction of the allowed key age that is used; the rest covers the latency of a request. */
 const KEY_FRESHNESS_FRACTION = 0.97;
@@ -49,7 +49,7 @@
     endRewrite();
   }
 
-  function applyRows(rows: readonly StoreRow[]): void {
+  function applyRows(rows: readonly StoreRow[], { peer, ageMs }: RowSource): void {
     const row = rows.filter(({ key, deleted }) => key === CONFIGURATION_KEY && !deleted).at(-1);
     if (!row) return;
     const configuration = decodeConfiguration(row.value);
@@ -71,6 +71,8 @@
       routes: configuration.routes.length,
       accounts: configuration.accounts.length,
       keys: view.accounts.size,
+      peer,
+      ageMs: Math.round(ageMs),
     });
     kernel.find('limits').setLimits(kernel.find('clock').now(), listLimits(configuration));
     updateAgents(kernel);
@@ -89,13 +91,13 @@
     events: {
       onRead: () => kernel.find('relay').answerWaiting(CONFIGURATION_TABLE),
       // Orders come first, so that no request is placed by a configuration without them.
-      onTable(rows) {
+      onTable(rows, source) {
         kernel.find('rollouts').applyRows(rows, true);
-        applyRows(rows);
+        applyRows(rows, source);
       },
-      onChanges(rows) {
+      onChanges(rows, source) {
         kernel.find('rollouts').applyRows(rows, false);
-        applyRows(rows);
+        applyRows(rows, source);
       },
       onRestored() {
         copiedRevision = rowRevision;
--- a/packages/gateway/test/late-reads.test.ts
+++ b/packages/gateway/test/late-reads.test.ts
@@ -2,13 +2,13 @@
 import { once } from 'node:events';
 import { expect } from 'chai';
 import { createSystemClock } from '@masticbend/kernel/clock';
-import { createSilentLogger } from '@masticbend/kernel/log';
+import { createSilentLogger, LogEvent } from '@masticbend/kernel/log';
 import { DEFAULT_CALLER_LIMITS } from '@masticbend/settings/routing';
 import { reservePorts } from '@masticbend/standins/ports';
 import { formatAnswer } from './backend.js';
 import { createIngress, type Ingress } from '../src/ingress.js';
 import { startDeployment, waitFor, waitUntil, type Deployment } from './harness.js';
-import { dialEntry, formatRequest, listStatuses } from './raw-caller.js';
+import { dialEntry, formatRequest, listStatuses, type RawCaller } from './raw-caller.js';
 
 /** Time for which a process handles no event. */
 const BUSY_MS = 100;
@@ -72,24 +72,33 @@
 });
 
 describe('an entry with connections that wait to be accepted', () => {
+  const clock = createSystemClock();
   let ingress: Ingress;
+  let callers: RawCaller[];
+  let events: LogEvent[];
+  let arrivals: number[];
+  let maxWaitMs: number;
 
-  afterEach(() => ingress.stop());
-
-  // Seconds of waiting did not count: requests past their time limit were placed as new ones.
-  it('counts the wait of a connection as time of its request', async () => {
-    const clock = createSystemClock();
+  /** Starts an entry that works on each request for `workMs`. */
+  async function start(workMs: number): Promise<string> {
     const [port] = await reservePorts(1);
-    const waits: number[] = [];
-    let sentAt = Infinity;
+    const address = `127.0.0.1:${port}`;
+    events = [];
+    arrivals = [];
+    maxWaitMs = 0;
     ingress = createIngress({
-      address: `127.0.0.1:${port}`,
+      address,
       clock,
-      log: createSilentLogger(),
+      log: {
+        ...createSilentLogger(),
+        info: (event) => events.push(event),
+        warn: (event) => events.push(event),
+      },
       requests: {
         accept({ arrivedAt }, createDelivery) {
-          runFor(WORK_MS);
-          waits.push(arrivedAt - sentAt);
+          runFor(workMs);
+          arrivals.push(arrivedAt);
+          maxWaitMs = Math.max(maxWaitMs, ingress.getAcceptWaitMs());
           createDelivery({
             abandon: () => undefined,
             refuseUnsent: () => undefined,
@@ -100,15 +109,45 @@
       getLimits: () => DEFAULT_CALLER_LIMITS,
     });
     await ingress.start();
-    sentAt = clock.now();
-    const callers = Array.from({ length: BURST_CALLERS }, (_each, index) => {
-      const caller = dialEntry(`127.0.0.1:${port}`);
+    return address;
+  }
+
+  /** Opens a connection with a request for each of a number of callers, together. */
+  async function callTogether(address: string, count: number): Promise<void> {
+    callers = Array.from({ length: count }, (_each, index) => {
+      const caller = dialEntry(address);
       caller.socket.write(formatRequest({ id: `c${index}` }));
       return caller;
     });
     await waitUntil(() => callers.every((caller) => listStatuses(caller).length === 1));
-    // All were sent together, and the last one was read after the work for all others.
-    expect(Math.max(...waits)).to.be.below((BURST_CALLERS * WORK_MS) / 2);
+  }
+
+  afterEach(async () => {
     for (const { socket } of callers) socket.destroy();
+    await ingress.stop();
+  });
+
+  // Seconds of waiting did not count: requests past their time limit were placed as new ones.
+  it('counts the wait of a connection as time of its request', async () => {
+    const address = await start(WORK_MS);
+    const sentAt = clock.now();
+    await callTogether(address, BURST_CALLERS);
+    // All were sent together, and the last one was read after the work for all others.
+    expect(Math.max(...arrivals) - sentAt).to.be.below((BURST_CALLERS * WORK_MS) / 2);
+  });
+
+  // Nothing showed that an entry was seconds behind.
+  it('reports that it is behind and that it has caught up', async () => {
+    const address = await start(WORK_MS);
+    await callTogether(address, BURST_CALLERS);
+    expect(maxWaitMs).to.be.above((BURST_CALLERS * WORK_MS) / 2);
+    expect(ingress.getAcceptWaitMs()).to.equal(0);
+    expect(events).to.deep.equal([LogEvent.EntryBehind, LogEvent.EntryCaughtUp]);
+  });
+
+  it('reports nothing while it keeps up', async () => {
+    const address = await start(0);
+    await callTogether(address, BURST_CALLERS);
+    expect(events).to.deep.equal([]);
   });
 });
--- a/packages/kernel/src/log.ts
+++ b/packages/kernel/src/log.ts
@@ -49,6 +49,8 @@
   PermitAnswered: 'permit-answered',
   SettingsReloaded: 'settings-reloaded',
   ReadinessChanged: 'readiness-changed',
+  EntryBehind: 'entry-behind',
+  EntryCaughtUp: 'entry-caught-up',
   CallerRefused: 'caller-refused',
   BackendCallStarted: 'backend-call-started',
   BackendCallFinished: 'backend-call-finished',
--- a/packages/kernel/src/metrics.ts
+++ b/packages/kernel/src/metrics.ts
@@ -53,6 +53,8 @@
   /** Ranks of an agent's queue whose requests are refused since they get no slots. */
   ClosedRanks: 'masticbend_closed_ranks',
   OpenRequests: 'masticbend_open_requests',
+  /** Time that callers' connections wait until an entry accepts them. */
+  AcceptWait: 'masticbend_accept_wait_ms',
   /** Bytes that an entry holds for the connections of its callers. */
   HeldBytes: 'masticbend_held_bytes',
   ConnectedAgents: 'masticbend_connected_agents',
--- /dev/null
+++ b/packages/scheduling/src/accept-wait.ts
@@ -0,0 +1,69 @@
+/**
+ * How long connections wait until they are accepted, for a process that may be short of processor
+ * time. An event loop accepts one connection in a turn, so that a queue builds up where turns are
+ * long, and nothing shows since when an accepted connection was open.
+ *
+ * The queue is served in the order of arrival. A turn without a connection shows that it was empty.
+ * Where connections have come in every turn for a while, probes are opened to the own port: what is
+ * accepted before a probe was opened before it.
+ */
+
+/** Time of turns with a connection each after which some of them may wait. */
+const RUN_MS = 100;
+/** Interval of the probes, and the greatest error of a wait. */
+const PROBE_INTERVAL_MS = 200;
+/** Waits from which a process is behind, and below which it no longer is. */
+const BEHIND_MS = 500;
+const CAUGHT_UP_MS = 100;
+
+/** Waits of one listening socket. Times are in milliseconds. */
+export interface AcceptWait {
+  /** A connection was accepted in a turn of the event loop, given by its number. */
+  recordAccepted: (now: number, turn: number) => void;
+  /** Returns whether a probe should be opened now. */
+  isProbeDue: (now: number) => boolean;
+  /** A probe waits to be accepted. */
+  recordProbeOpened: (now: number) => void;
+  /** The probe that was opened at this time was accepted or has failed. */
+  recordProbeEnded: (openedAt: number) => void;
+  /** Returns the time that a connection which is accepted now has waited at least. */
+  getWaitMs: (now: number) => number;
+  /** Returns whether connections wait too long; some time below that ends it. */
+  updateBehind: (now: number) => boolean;
+}
+
+/** Returns the waits of a socket without connections. */
+export function createAcceptWait(): AcceptWait {
+  let lastTurn = -Infinity;
+  let runStartedAt = Infinity;
+  let lastProbeAt = -Infinity;
+  /** When the probes that wait were opened, in that order. */
+  const waiting = new Set<number>();
+  let isBehind = false;
+
+  function getWaitMs(now: number): number {
+    const [first = now] = waiting;
+    return now - first;
+  }
+
+  return {
+    recordAccepted(now, turn) {
+      if (turn > lastTurn + 1) {
+        runStartedAt = now;
+        waiting.clear();
+      }
+      lastTurn = turn;
+    },
+    isProbeDue: (now) => now - runStartedAt >= RUN_MS && now - lastProbeAt >= PROBE_INTERVAL_MS,
+    recordProbeOpened(now) {
+      lastProbeAt = now;
+      waiting.add(now);
+    },
+    recordProbeEnded: (openedAt) => waiting.delete(openedAt),
+    getWaitMs,
+    updateBehind(now) {
+      isBehind = getWaitMs(now) >= (isBehind ? CAUGHT_UP_MS : BEHIND_MS);
+      return isBehind;
+    },
+  };
+}
