Pass requests on after what lies behind them was read

Callers saw nothing of it; servers worked for callers that had left (GONE). An entry that is short of processor time reads a request seconds after it was sent, with the close of its caller behind it in the same connection. It placed the request in the turn in which its body ended, and read the close in the next one, when the request had been written to a server.

A request is now placed after one more turn, in which each open connection is read once. What arrived before its placement is therefore known, however late the entry is, without an estimate of the delay. Until then it is ended like one that was placed: with its closing line, refused at a stop and where the entry holds too many bytes.

--- a/packages/gateway/src/caller-connection.ts
+++ b/packages/gateway/src/caller-connection.ts
@@ -48,6 +48,8 @@
   /** Bytes of its body that are held, and of an answer that is held back until it is complete. */
   bodyBytes: number;
   heldBackBytes: number;
+  /** It was passed to the request handling. */
+  isAccepted: boolean;
   /** Ways to end the request; undefined until its body was read. */
   ends?: RequestEnds;
 }
@@ -84,8 +86,8 @@
   /** Refuses a tunnel, after the answers in progress. */
   refuseTunnel: () => void;
   countOpen: () => number;
-  /** Requests of which only the head was read, and that have no answer. */
-  listUnread: () => OpenRequest[];
+  /** Requests that were not passed to the request handling, and that have no answer. */
+  listUnaccepted: () => OpenRequest[];
   /** Announces the close of the connection with the last answer that is due. */
   announceClose: () => void;
   /** Closes the connection if no answer is due and no request has arrived. */
@@ -259,6 +261,7 @@
         isSent: false,
         bodyBytes: 0,
         heldBackBytes: 0,
+        isAccepted: false,
       };
       open.add(added);
       response.once('finish', () => {
@@ -294,8 +297,8 @@
       refuse({ name: 'Error', message: 'tunnel', code: TUNNEL });
     },
     countOpen: () => open.size,
-    listUnread: () =>
-      [...open].filter(({ request, response }) => !request.complete && !response.headersSent),
+    listUnaccepted: () =>
+      [...open].filter(({ isAccepted, response }) => !isAccepted && !response.headersSent),
     announceClose() {
       // The refusal that is due after the last answer announces the close itself.
       if (rejection !== undefined) return;
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -20,6 +20,7 @@
   type OpenRequest,
 } from './caller-connection.js';
 import { createDelivery, type DeliveryBounds } from './delivery.js';
+import { runAfterReads } from './event-loop.js';
 import { startServer } from './network.js';
 import { checkRequestHead, hasMalformedName, isContinueExpected } from './request-head.js';
 import { readTarget } from './request-target.js';
@@ -136,14 +137,40 @@
     }
     if (readers) request.on('data', (chunk: Buffer) => recordBody(open, chunk.length));
     readBody(open, getLimits().bodyBytes, (body) => {
-      if (clock.now() > refusesReadAt) refuse(request, response, STOPPED);
-      else if (body) acceptRequest(connection, open, body);
-      else refuse(request, response, { kind: ErrorKind.BodyTooLarge });
+      if (!body) {
+        refuse(request, response, { kind: ErrorKind.BodyTooLarge });
+        return;
+      }
+      open.ends = {
+        abandon: () => abortUnaccepted(open),
+        refuseUnsent: () => refuseUnread(request, response),
+        wasSent: () => false,
+      };
+      // In a busy process, the caller may have left since it sent the request.
+      runAfterReads(() => acceptRequest(connection, open, body));
+    });
+  }
+
+  function abortUnaccepted({ request, response }: OpenRequest): void {
+    log.info(LogEvent.RequestAbandoned, {
+      request: readRequestId(request),
+      sent: 0,
     });
+    createDelivery(response, () => undefined).fail({ kind: ErrorKind.CallerEnded });
   }
 
   function acceptRequest(connection: CallerConnection, open: OpenRequest, body: Buffer): void {
     const { request, response } = open;
+    if (response.writableEnded) return;
+    if (request.socket.destroyed) {
+      abortUnaccepted(open);
+      return;
+    }
+    if (clock.now() > refusesReadAt) {
+      refuse(request, response, STOPPED);
+      return;
+    }
+    open.isAccepted = true;
     requests.accept(
       {
         method: request.method ?? 'GET',
@@ -245,8 +272,8 @@
       isStopping = true;
       isRefusing = true;
       server.close();
-      const unread = [...connections.values()].flatMap((connection) => connection.listUnread());
-      for (const { request, response } of unread) refuse(request, response, STOPPED);
+      const unaccepted = [...connections.values()].flatMap((each) => each.listUnaccepted());
+      for (const { request, response } of unaccepted) refuse(request, response, STOPPED);
       for (const connection of connections.values()) connection.stop();
       const closeAt = clock.now() + STOP_CLOSE_MS;
       while (connections.size > 0 && clock.now() < closeAt) {
