Count the wait of a connection as time of its request

Callers got no answer by the time limit of their route or half a second later (CONFIG), and requests past their time went to servers. A connection may wait for seconds until an entry that is short of processor time accepts it; the request on it was stamped as arrived when it was read, with all of its time left.

Evidence: 40 requests sent together and served in 20 ms each: the last one was stamped 850 ms late, and requests of a route of 300 ms reached the server up to 945 ms after they were sent.

What the first request of a connection has waited at least, as the probes of the accept queue show, is now taken from its time, so that deadlines, objectives and the values passed to servers count from its sending. A request whose time has passed is refused as not run before it is placed.

--- a/packages/gateway/src/caller-connection.ts
+++ b/packages/gateway/src/caller-connection.ts
@@ -12,6 +12,7 @@
 import type { HeldSample } from '@masticbend/scheduling/held-bytes';
 import type { BoundedConnection } from './bounded-readers.js';
 import { createCallerInput } from './caller-input.js';
+import { runAfterReads } from './event-loop.js';
 import { closeLingering } from './lingering-close.js';
 
 /** Time by which an idle connection stays open longer than its caller was told. */
@@ -48,6 +49,8 @@
   /** Bytes of its body that are held, and of an answer that is held back until it is complete. */
   bodyBytes: number;
   heldBackBytes: number;
+  /** Time for which its connection waited to be accepted, in milliseconds. */
+  waitedMs: number;
   /** It was passed to the request handling. */
   isAccepted: boolean;
   /** Ways to end the request; undefined until its body was read. */
@@ -102,6 +105,8 @@
 export interface CallerConnectionOptions {
   clock: Clock;
   log: Logger;
+  /** Time for which the connection waited to be accepted, in milliseconds. */
+  waitedMs: number;
   /** Refuses a request whose body is being read, because the entry holds too many bytes. */
   refuseUnread: (request: IncomingMessage, response: ServerResponse) => void;
 }
@@ -112,6 +117,13 @@
   socket: Socket,
 ): CallerConnection {
   const { clock, log } = options;
+  /** Requests that are read later were not sent while the connection waited. */
+  let { waitedMs } = options;
+  if (waitedMs > 0) {
+    runAfterReads(() => {
+      waitedMs = 0;
+    });
+  }
   /** In the order of their arrival, which is that of their answers. */
   const open = new Set<OpenRequest>();
   /** Status of a refusal that follows the answers in progress. */
@@ -261,6 +273,7 @@
         isSent: false,
         bodyBytes: 0,
         heldBackBytes: 0,
+        waitedMs,
         isAccepted: false,
       };
       open.add(added);
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -107,7 +107,8 @@
 
   function acceptConnection(socket: Socket): void {
     if (monitor.takeProbe(socket)) return;
-    connections.set(socket, createCallerConnection({ clock, log, refuseUnread }, socket));
+    const waitedMs = monitor.getWaitMs();
+    connections.set(socket, createCallerConnection({ clock, log, waitedMs, refuseUnread }, socket));
     socket.once('close', () => connections.delete(socket));
   }
 
@@ -151,16 +152,17 @@
     });
   }
 
-  function abortUnaccepted({ request, response }: OpenRequest): void {
+  function abortUnaccepted({ request, response, waitedMs }: OpenRequest): void {
     log.info(LogEvent.RequestAbandoned, {
       request: readRequestId(request),
       sent: 0,
+      totalMs: Math.round(waitedMs),
     });
     createDelivery(response, () => undefined).fail({ kind: ErrorKind.CallerEnded });
   }
 
   function acceptRequest(connection: CallerConnection, open: OpenRequest, body: Buffer): void {
-    const { request, response } = open;
+    const { request, response, waitedMs } = open;
     if (response.writableEnded) return;
     if (request.socket.destroyed) {
       abortUnaccepted(open);
@@ -177,7 +179,7 @@
         ...readTarget(request),
         metadata: readRequestMetadata(request.headers),
         body,
-        arrivedAt: clock.now(),
+        arrivedAt: clock.now() - waitedMs,
       },
       (ends) => {
         open.ends = ends;
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -218,6 +218,11 @@
     );
     startDeadlineTimer(state);
     openRequests.set(state.id, state);
+    // Its time may have passed before it was read.
+    if (state.deadlineAt <= clock.now()) {
+      unserved.expire(state);
+      return;
+    }
     if (guard.refuseBlocked(state)) return;
     const limitFailure = checkLimit(state);
     if (limitFailure) {
--- a/packages/gateway/test/late-reads.test.ts
+++ b/packages/gateway/test/late-reads.test.ts
@@ -18,6 +18,9 @@
 /** Processor time of each request of a burst. */
 const WORK_MS = 20;
 const BURST_CALLERS = 40;
+/** Time limit of the route of short requests, and the greatest error of a measured wait. */
+const SHORT_TIMEOUT_MS = 300;
+const MAX_WAIT_ERROR_MS = 300;
 
 /** Keeps the process from handling events. */
 function runFor(durationMs: number): void {
@@ -71,6 +74,47 @@
   });
 });
 
+describe('an entry that cannot serve all callers in time', () => {
+  let deployment: Deployment;
+  let callers: RawCaller[];
+  /** Time from the sending of the requests to the arrival of each one at the server. */
+  let arrivals: number[];
+
+  /** Sends requests together to a server each of whose answers keeps the process busy. */
+  async function callTogether(count: number, target: string): Promise<void> {
+    arrivals = [];
+    let sentAt = 0;
+    deployment = await startDeployment([
+      ({ socket }) => {
+        arrivals.push(performance.now() - sentAt);
+        runFor(WORK_MS);
+        socket.write(formatAnswer(200, 'done'));
+      },
+    ]);
+    deployment.writeServer(0, { slots: count });
+    sentAt = performance.now();
+    callers = Array.from({ length: count }, (_each, index) => {
+      const caller = dialEntry(deployment.settings.callerAddress);
+      caller.socket.write(formatRequest({ id: `d${index}`, target }));
+      return caller;
+    });
+  }
+
+  afterEach(async () => {
+    for (const { socket } of callers) socket.destroy();
+    await deployment.close();
+  });
+
+  // Requests past the time limit of their route were sent to servers.
+  it('refuses requests whose time has passed before they were read', async () => {
+    await callTogether(BURST_CALLERS, '/short/a');
+    await waitUntil(() => callers.every((caller) => listStatuses(caller).length === 1));
+    expect(Math.max(...arrivals)).to.be.below(SHORT_TIMEOUT_MS + MAX_WAIT_ERROR_MS);
+    const statuses = new Set(callers.flatMap(listStatuses));
+    expect([...statuses].sort()).to.deep.equal([200, 503]);
+  });
+});
+
 describe('an entry with connections that wait to be accepted', () => {
   const clock = createSystemClock();
   let ingress: Ingress;
