An entry that is behind is not ready

The load balancer spreads callers over entries of unlike sizes by a hash. The test slows each turn of the event loop: the entry stayed ready before the change.

--- a/packages/gateway/src/administration.ts
+++ b/packages/gateway/src/administration.ts
@@ -25,14 +25,16 @@
   let wasReady = false;
 
   function isReady(): boolean {
+    const isBehind = kernel.find('ingress').isBehind();
     const ready =
       !state.stopping &&
+      !isBehind &&
       view.getView() !== undefined &&
       view.isConfigurationRecent() &&
       serverPool.listServers().length > 0;
     if (ready !== wasReady) {
       wasReady = ready;
-      log.info(LogEvent.ReadinessChanged, { ready, stopping: state.stopping });
+      log.info(LogEvent.ReadinessChanged, { ready, stopping: state.stopping, behind: isBehind });
     }
     return ready;
   }
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -73,6 +73,8 @@
   countOpen: () => number;
   /** Time that a connection which is accepted now has waited at least, in milliseconds. */
   getAcceptWaitMs: () => number;
+  /** Returns whether connections wait too long for their callers to be served. */
+  isBehind: () => boolean;
   /** Bytes held for callers; 0 where they are not bounded. */
   countHeldBytes: () => number;
   /** Stops listening, refuses the requests still being read, and closes all connections. */
@@ -267,6 +269,7 @@
     countOpen: () =>
       [...connections.values()].reduce((sum, connection) => sum + connection.countOpen(), 0),
     getAcceptWaitMs: monitor.getWaitMs,
+    isBehind: monitor.isBehind,
     countHeldBytes: () => readers?.countBytes() ?? 0,
     async stop() {
       monitor.stop();
--- a/packages/gateway/test/late-reads.test.ts
+++ b/packages/gateway/test/late-reads.test.ts
@@ -1,6 +1,7 @@
 /** Requests that an entry short of processor time reads long after they were sent. */
 import { once } from 'node:events';
 import { expect } from 'chai';
+import { request as send } from 'undici';
 import { createSystemClock } from '@masticbend/kernel/clock';
 import { createSilentLogger, LogEvent } from '@masticbend/kernel/log';
 import { DEFAULT_CALLER_LIMITS } from '@masticbend/settings/routing';
@@ -113,6 +114,40 @@
     const statuses = new Set(callers.flatMap(listStatuses));
     expect([...statuses].sort()).to.deep.equal([200, 503]);
   });
+
+  // The load balancer sent it further callers, who waited as well.
+  it('is not ready until it has caught up', async () => {
+    await callTogether(BURST_CALLERS, '/once/a');
+    const stopSlowing = startSlowTurns();
+    const readiness: number[] = [];
+    await waitUntil(async () => {
+      readiness.push(await readReadiness());
+      return callers.every((caller) => listStatuses(caller).length === 1);
+    });
+    stopSlowing();
+    expect(readiness).to.include(503);
+    expect(await readReadiness()).to.equal(200);
+  });
+
+  /** Keeps the process busy in each turn of its event loop. */
+  function startSlowTurns(): () => void {
+    let isSlow = true;
+    const runTurn = () => {
+      runFor(WORK_MS);
+      if (isSlow) setImmediate(runTurn);
+    };
+    setImmediate(runTurn);
+    return () => {
+      isSlow = false;
+    };
+  }
+
+  async function readReadiness(): Promise<number> {
+    const { readinessAddress } = deployment.settings;
+    const { statusCode, body } = await send(`http://${readinessAddress}/v1/readyz`);
+    await body.dump();
+    return statusCode;
+  }
 });
 
 describe('an entry with connections that wait to be accepted', () => {
