Refuse the connections that wait when an entry is behind

An entry that got more callers than its processor time allows served all in the order of their arrival: each one waited for the work for those before it, and it took seconds to catch up.

While connections wait for 300 ms or longer, what waits is refused as not run without reading it, until the wait is below 100 ms; callers return within 300 ms, mostly to another entry. A probe whose end is never seen cannot keep an entry behind: a turn without a connection shows that none waits.

--- a/packages/gateway/src/accept-monitor.ts
+++ b/packages/gateway/src/accept-monitor.ts
@@ -13,10 +13,14 @@
 /** Timeout of a probe, which the system drops where its queue is full. */
 const DIAL_TIMEOUT_MS = 500;
 
+/** What an accepted connection is for the entry. */
+export const ConnectionKind = { Caller: 'caller', Excess: 'excess', Probe: 'probe' } as const;
+export type ConnectionKind = (typeof ConnectionKind)[keyof typeof ConnectionKind];
+
 /** Wait of the callers' connections. */
 export interface AcceptMonitor {
-  /** Takes an accepted connection; returns whether it is a probe, which it closes. */
-  takeProbe: (socket: Socket) => boolean;
+  /** Classifies an accepted connection; probes are closed. */
+  classifyConnection: (socket: Socket) => ConnectionKind;
   /** Time that a connection which is accepted now has waited at least, in milliseconds. */
   getWaitMs: () => number;
   /** Returns whether connections wait too long for callers to be served. */
@@ -48,6 +52,8 @@
   const accepted = new Map<number, Socket>();
   let behindSince: number | undefined;
   let maxWaitMs = 0;
+  /** Connections in excess since the entry fell behind. */
+  let excess = 0;
 
   function openProbe(): void {
     isDialling = true;
@@ -70,6 +76,7 @@
     waiting.set(localPort, { socket, openedAt });
     wait.recordProbeOpened(openedAt);
     socket.unref();
+    socket.resume();
     socket.once('close', () => finishProbe(localPort));
   }
 
@@ -82,6 +89,19 @@
     update(clock.now());
   }
 
+  /** Closes the accepted end of a probe; returns false for any other connection. */
+  function takeProbe(socket: Socket): boolean {
+    const { remotePort = 0, remoteAddress } = socket;
+    const probe = waiting.get(remotePort);
+    if (probe && probe.socket.localAddress === remoteAddress) {
+      finishProbe(remotePort);
+      socket.destroy();
+      return true;
+    }
+    if (isDialling) accepted.set(remotePort, socket);
+    return false;
+  }
+
   function update(now: number): boolean {
     const isBehind = wait.updateBehind(now);
     maxWaitMs = Math.max(maxWaitMs, wait.getWaitMs(now));
@@ -91,33 +111,43 @@
     } else if (!isBehind && behindSince !== undefined) {
       const forMs = Math.round(now - behindSince);
       behindSince = undefined;
-      log.info(LogEvent.EntryCaughtUp, { forMs, maxWaitMs: Math.round(maxWaitMs) });
+      log.info(LogEvent.EntryCaughtUp, { forMs, maxWaitMs: Math.round(maxWaitMs), excess });
+    }
+    if (!isBehind) {
+      maxWaitMs = 0;
+      excess = 0;
     }
-    if (!isBehind) maxWaitMs = 0;
     return isBehind;
   }
 
   return {
-    takeProbe(socket) {
+    classifyConnection(socket) {
       const now = clock.now();
-      wait.recordAccepted(now, performance.nodeTiming.uvMetricsInfo.loopCount);
-      update(now);
-      if (!isDialling && waiting.size === 0 && !wait.isProbeDue(now)) return false;
-      const { remotePort = 0, remoteAddress } = socket;
-      const probe = waiting.get(remotePort);
-      if (probe?.socket.localAddress === remoteAddress && remoteAddress !== undefined) {
-        finishProbe(remotePort);
-        socket.destroy();
-        return true;
+      wait.recordAccepted(now, countTurns());
+      const isBehind = update(now);
+      if (isDialling || waiting.size > 0 || wait.isProbeDue(now)) {
+        if (takeProbe(socket)) return ConnectionKind.Probe;
+        if (!isDialling && wait.isProbeDue(now)) openProbe();
       }
-      if (isDialling) accepted.set(remotePort, socket);
-      else if (wait.isProbeDue(now)) openProbe();
-      return false;
+      if (!isBehind) return ConnectionKind.Caller;
+      excess += 1;
+      return ConnectionKind.Excess;
+    },
+    getWaitMs() {
+      wait.recordTurn(countTurns());
+      return wait.getWaitMs(clock.now());
+    },
+    isBehind() {
+      wait.recordTurn(countTurns());
+      return update(clock.now());
     },
-    getWaitMs: () => wait.getWaitMs(clock.now()),
-    isBehind: () => update(clock.now()),
     stop() {
       for (const { socket } of [...waiting.values()]) socket.destroy();
     },
   };
 }
+
+/** Returns the turns of the process's event loop so far. */
+function countTurns(): number {
+  return performance.nodeTiming.uvMetricsInfo.loopCount;
+}
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -11,7 +11,7 @@
 import { ErrorKind, type Failure } from '@masticbend/protocol/error';
 import type { HeldBounds } from '@masticbend/scheduling/held-bytes';
 import { DEFAULT_CALLER_LIMITS, type CallerLimits } from '@masticbend/settings/routing';
-import { createAcceptMonitor } from './accept-monitor.js';
+import { ConnectionKind, createAcceptMonitor } from './accept-monitor.js';
 import { createBoundedReaders } from './bounded-readers.js';
 import {
   createCallerConnection,
@@ -21,6 +21,7 @@
 } from './caller-connection.js';
 import { createDelivery, type DeliveryBounds } from './delivery.js';
 import { runAfterReads } from './event-loop.js';
+import { refuseConnection } from './excess-connections.js';
 import { startServer } from './network.js';
 import { checkRequestHead, hasMalformedName, isContinueExpected } from './request-head.js';
 import { readTarget } from './request-target.js';
@@ -49,6 +50,7 @@
   address: string;
   clock: Clock;
   log: Logger;
+  drawRandom?: () => number;
   requests: Pick<Requests, 'accept'>;
   getLimits: () => CallerLimits | undefined;
   /** Present where the bytes held for callers are bounded; what differs from the usual bounds. */
@@ -83,7 +85,7 @@
 
 /** Returns a server that is not listening yet. */
 export function createIngress(options: IngressOptions): Ingress {
-  const { clock, log, requests } = options;
+  const { clock, log, requests, drawRandom = Math.random } = options;
   let isStopping = false;
   let isRefusing = false;
   /** Time from which requests that have just been read are refused. */
@@ -108,7 +110,6 @@
   }
 
   function acceptConnection(socket: Socket): void {
-    if (monitor.takeProbe(socket)) return;
     const waitedMs = monitor.getWaitMs();
     connections.set(socket, createCallerConnection({ clock, log, waitedMs, refuseUnread }, socket));
     socket.once('close', () => connections.delete(socket));
@@ -243,7 +244,15 @@
   server.closeIdleConnections = closeIdle;
   server.on('checkContinue', handleRequest);
   server.on('checkExpectation', handleRequest);
-  server.on('connection', acceptConnection);
+  const readConnection = server.listeners('connection') as ((socket: Socket) => void)[];
+  server.removeAllListeners('connection');
+  server.on('connection', (socket: Socket) => {
+    const kind = monitor.classifyConnection(socket);
+    if (kind === ConnectionKind.Excess) refuseConnection(clock, socket, drawRandom);
+    if (kind !== ConnectionKind.Caller) return;
+    for (const listener of readConnection) listener.call(server, socket);
+    acceptConnection(socket);
+  });
   server.on('timeout', (socket: Socket) => connections.get(socket)?.closeIdle());
   server.on('connect', (_request, socket: Socket) => connections.get(socket)?.refuseTunnel());
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
--- a/packages/scheduling/src/accept-wait.ts
+++ b/packages/scheduling/src/accept-wait.ts
@@ -12,14 +12,19 @@
 const RUN_MS = 100;
 /** Interval of the probes, and the greatest error of a wait. */
 const PROBE_INTERVAL_MS = 200;
-/** Waits from which a process is behind, and below which it no longer is. */
-const BEHIND_MS = 500;
+/**
+ * Waits from which a process is behind, and below which it no longer is. Callers give up requests
+ * that are not read within a third of their time, half a second for short ones.
+ */
+const BEHIND_MS = 300;
 const CAUGHT_UP_MS = 100;
 
 /** Waits of one listening socket. Times are in milliseconds. */
 export interface AcceptWait {
   /** A connection was accepted in a turn of the event loop, given by its number. */
   recordAccepted: (now: number, turn: number) => void;
+  /** The event loop has reached a turn; none waits if an earlier one had no connection. */
+  recordTurn: (turn: number) => void;
   /** Returns whether a probe should be opened now. */
   isProbeDue: (now: number) => boolean;
   /** A probe waits to be accepted. */
@@ -46,14 +51,17 @@
     return now - first;
   }
 
+  function recordTurn(turn: number): void {
+    if (turn > lastTurn + 1) waiting.clear();
+  }
+
   return {
     recordAccepted(now, turn) {
-      if (turn > lastTurn + 1) {
-        runStartedAt = now;
-        waiting.clear();
-      }
+      recordTurn(turn);
+      if (turn > lastTurn + 1) runStartedAt = now;
       lastTurn = turn;
     },
+    recordTurn,
     isProbeDue: (now) => now - runStartedAt >= RUN_MS && now - lastProbeAt >= PROBE_INTERVAL_MS,
     recordProbeOpened(now) {
       lastProbeAt = now;
