--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -95,7 +95,7 @@
 /** Events of an attempt. */
 export interface AttemptEvents {
   onSent: () => void;
-  /** What the server says about itself in any answer, before the answer is checked. */
+  /** What the server says about itself in an answer to this request, whatever its status. */
   onNotice: (notice: ServerNotice) => void;
   /** First byte of the answer, or first event of a stream; the time is counted from `onSent`. */
   onFirstOutput: (elapsedMs: number, status: number) => void;
@@ -196,9 +196,12 @@
 
   function handleHead(status: number, headers: HeaderMap): void {
     recordData();
+    if (!isAnswerTo(request.requestId, headers)) {
+      failAttempt('answer to another request');
+      return;
+    }
     events.onNotice(readServerNotice(status, headers));
-    if (!isAnswerTo(request.requestId, headers)) failAttempt('answer to another request');
-    else if (isNotRun(status, headers)) finish({ kind: 'not-run', status });
+    if (isNotRun(status, headers)) finish({ kind: 'not-run', status });
     else if (status < 300 && !isSigned(headers)) failAttempt('answer without a signature');
     else if (isEncoded(headers)) failAttempt('answer with a content encoding');
     else head = { status, headers };
--- a/packages/gateway/test/backend.ts
+++ b/packages/gateway/test/backend.ts
@@ -1,5 +1,6 @@
 /** Scripted backend server: answers each request with the bytes that a test specifies. */
 import { createServer, type AddressInfo, type Socket } from 'node:net';
+import { REQUEST_ID_HEADER } from '@masticbend/platform/ingress';
 
 /** A request as it was received. */
 export interface Arrival {
@@ -41,6 +42,8 @@
 
   const server = createServer((socket) => {
     let text = '';
+    let requestId = '';
+    addRequestIds(socket, () => requestId);
     sockets.add(socket);
     socket.on('error', () => undefined);
     socket.on('close', () => sockets.delete(socket));
@@ -49,6 +52,7 @@
       for (let arrival = parseRequest(text, socket); arrival;) {
         text = text.slice(arrival.bytes);
         const current = arrival.request;
+        requestId = current.headers[REQUEST_ID_HEADER] ?? '';
         socket.on('close', () => {
           current.closed = true;
         });
@@ -117,6 +121,26 @@
 
 export const LAST_CHUNK = '0\r\n\r\n';
 
+/**
+ * Adds the id of the last request to each answer that a text begins and that has none, as servers
+ * do; buffers are written as they are.
+ */
+function addRequestIds(socket: Socket, getId: () => string): void {
+  const write = socket.write.bind(socket);
+  const end = socket.end.bind(socket);
+  const addId = (value: unknown): never => {
+    const isAnswer = typeof value === 'string' && /^HTTP\/1\.1 [^1].*\r\n/.test(value);
+    const hasId = isAnswer && value.toLowerCase().includes(`${REQUEST_ID_HEADER}:`);
+    const result =
+      isAnswer && !hasId
+        ? value.replace('\r\n', `\r\n${REQUEST_ID_HEADER}: ${getId()}\r\n`)
+        : value;
+    return result as never;
+  };
+  socket.write = (value: unknown, ...rest: never[]) => write(addId(value), ...rest);
+  socket.end = (value?: unknown, ...rest: never[]) => end(addId(value), ...rest);
+}
+
 function parseRequest(text: string, socket: Socket) {
   const headEnd = text.indexOf('\r\n\r\n');
   if (headEnd < 0) return undefined;
