--- /dev/null
+++ b/packages/gateway/test/odd-registrations.test.ts
@@ -0,0 +1,103 @@
+/** Rows among the registrations of servers that another writer has left there. */
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { decodeBackendServer } from '@masticbend/platform/backend-servers';
+import type { Message } from '@masticbend/protocol/message';
+import { checkMessage } from '@masticbend/protocol/shape';
+import { formatAnswer } from './backend.js';
+import { startDeployment, waitFor, waitUntil, type Deployment } from './harness.js';
+
+const SERVER = {
+  service: 'plain',
+  address: '127.0.0.1:4000',
+  zone: 'z1',
+  slots: 4,
+  state: 'ready',
+  cold_left_ms: 0,
+  born: 1,
+  version: 'v1',
+};
+const LONG = 'x'.repeat(60_000);
+const NESTING = 20_000;
+const NESTED = `${'['.repeat(NESTING)}${']'.repeat(NESTING)}`;
+/** Calls of two entries in a while in which nothing changes: reads of two tables and renewals. */
+const OBSERVED_MS = 1_000;
+const MAX_CALLS = 10;
+/** Values of fields that no server writes, as JSON. */
+const ODD_VALUES = [
+  ...['1e300', '1e400', '-1', '0.5', '9007199254740993', 'null', 'true', '"1"', '{}', NESTED],
+  JSON.stringify(LONG),
+  '"10.0.0.1:70000"',
+];
+
+function formatRow(changes: Readonly<Record<string, string>>): string {
+  const fields = Object.entries(SERVER).map(([name, value]) => [name, JSON.stringify(value)]);
+  const all = { ...Object.fromEntries(fields), ...changes };
+  return `{${Object.entries(all)
+    .map(([name, json]) => `${JSON.stringify(name)}:${json}`)
+    .join(',')}}`;
+}
+
+describe('odd rows among the registrations of servers', () => {
+  // A row whose values no message can carry closed the link on which they were sent.
+  it('name no server, or one that messages can describe', () => {
+    const names = Object.keys(SERVER);
+    const change = fc.tuple(
+      fc.constantFrom(...names),
+      fc.oneof(fc.constantFrom(...ODD_VALUES), fc.json(), fc.double().map(String)),
+    );
+    fc.assert(
+      fc.property(fc.array(change, { minLength: 1, maxLength: 3 }), (changes) => {
+        const row = Buffer.from(formatRow(Object.fromEntries(changes)));
+        const server = decodeBackendServer('i-9', row);
+        if (!server) return;
+        const { id, bornAt, slots, service, softwareVersion, dataCentre, coldMs } = server;
+        const messages: Message[] = [
+          {
+            kind: 'permit-hello',
+            instance: dataCentre,
+            server: id,
+            bornAt,
+            leaving: false,
+            slots,
+            running: [],
+          },
+          { kind: 'stream-origin', stream: 's', isKnown: true, service, softwareVersion },
+        ];
+        expect(messages.map(checkMessage)).to.deep.equal([undefined, undefined]);
+        expect(Number.isSafeInteger(bornAt) && bornAt >= 0).to.equal(true);
+        expect(coldMs).to.be.within(0, Number.MAX_SAFE_INTEGER);
+      }),
+      { seed: 42, numRuns: 2_000 },
+    );
+  });
+
+  describe('beside sound ones', () => {
+    let deployment: Deployment;
+
+    afterEach(() => deployment.close());
+
+    // Entries that read the list ended, or wrote what the store refuses again and again.
+    it('cost neither the other rows nor calls to the store', async () => {
+      deployment = await startDeployment([({ socket }) => socket.write(formatAnswer(200, 'done'))]);
+      await deployment.startEntry();
+      await deployment.waitUntilConnected(1);
+      ODD_VALUES.forEach((value, row) =>
+        Object.keys(SERVER).forEach((name, column) => {
+          const address = `"127.0.0.1:${4_000 + row * 10 + column}"`;
+          const odd = formatRow({ state: '"draining"', address, [name]: value });
+          deployment.store.put('servers', `odd-${name}-${row}`, odd);
+        }),
+      );
+      deployment.store.put('servers', 'odd-nested', NESTED);
+      deployment.store.put('servers', 'odd-cut', '{"service":');
+      deployment.writeServer(0, { version: 'v2', born: 2 });
+      await waitUntil(() => deployment.store.read('versions', 'plain')?.includes('v2') === true);
+      expect((await deployment.call('/once/a')).status).to.equal(200);
+      const calls = deployment.store.countCalls();
+      await waitFor(OBSERVED_MS);
+      expect(deployment.store.countCalls() - calls).to.be.below(MAX_CALLS);
+      await deployment.waitUntilConnected(1);
+    });
+  });
+});
