Keep a recorded version at entries that have not listed it yet

During a release, an entry that had not read of the first server of a new version marked that version as left as soon as it heard of its record, and the entry that had listed it recorded it again: the two wrote the row in turn until the late entry had read the list, and no stream could begin at the new version between two writes. A version named by a record that was never listed here now counts as listed when it was first read of, so that it is marked as left after the usual delay without a server.

--- a/packages/gateway/src/version-records.ts
+++ b/packages/gateway/src/version-records.ts
@@ -18,6 +18,7 @@
   isVersionRecorded,
   updateVersionRecord,
   type StoreMoment,
+  type VersionRecord,
 } from '@masticbend/scheduling/version-record';
 import {
   Repeat,
@@ -99,7 +100,7 @@
   let firstServices: ReadonlySet<string> | undefined;
   /** Version of the configuration, and its routes whose streams can be taken up, by service. */
   let routing = { version: 0, routes: new Map<string, Set<string>>() };
-  /** When each version was last listed, by service. */
+  /** When each version was last listed, or first read of where it was not, by service. */
   const lastListedAt = new Map<string, Map<string, number>>();
   /** Timers by their purpose. */
   const stopTimers = new Map<string, () => void>();
@@ -159,11 +160,25 @@
     lastMoment = { storeTimeMs, era, at: clock.now() };
     records.clear();
     for (const { key, value, revision } of rows) {
-      records.set(key, { record: decodeVersionRecord(value), revision, era });
+      const record = decodeVersionRecord(value);
+      records.set(key, { record, revision, era });
+      if (record) recordVersions(key, record);
     }
     return { storeTimeMs, era };
   }
 
+  /** Versions that other entries have recorded may be listed here a moment later. */
+  function recordVersions(service: string, { versions }: VersionRecord): void {
+    const times = lastListedAt.get(service) ?? new Map<string, number>();
+    const added = versions.filter(
+      ({ version, leftAt }) => leftAt === undefined && !times.has(version),
+    );
+    if (added.length === 0) return;
+    for (const { version } of added) times.set(version, clock.now());
+    lastListedAt.set(service, times);
+    startTimer('left', LEFT_DELAY_MS, checkAll);
+  }
+
   function estimateMoment(): StoreMoment {
     const { storeTimeMs, era, at } = lastMoment!;
     return { storeTimeMs: storeTimeMs + (clock.now() - at), era };
@@ -292,6 +307,7 @@
       const record = decodeVersionRecord(Buffer.from(value));
       if (isOlder || !record) return;
       records.set(service, { record, revision, era });
+      recordVersions(service, record);
       checkAll();
     },
     dump: () => Object.fromEntries(records),
--- a/packages/gateway/test/version-records.test.ts
+++ b/packages/gateway/test/version-records.test.ts
@@ -52,7 +52,12 @@
   const clock = createVirtualClock();
   const names = Array.from({ length: size }, (_, index) => `entry-${index}`);
   const entries = new Map<string, VersionRecords>();
-  const store = { row: undefined as StoreRow | undefined, isDown: false, reads: 0, writes: 0 };
+  const store = {
+    row: undefined as StoreRow | undefined,
+    isDown: false,
+    reads: 0,
+    writes: 0,
+  };
   const startEntry = (self: string, isFirstStart: boolean) => {
     const records = createVersionRecords({
       self,
@@ -159,6 +164,20 @@
     expect(records.isRecorded('engine', 'v1')).to.equal(true);
   });
 
+  // The entry marked the version as left, the first one as present, and so on: none could begin.
+  it('that another entry wrote hold at one that has not listed the version yet', async () => {
+    const { entries, store, runFor } = createFleet(2);
+    const [first, late] = [...entries.values()] as [VersionRecords, VersionRecords];
+    for (const records of [first, late]) records.setListed(createServers('v1'));
+    await runFor(RECORDED_TIMEOUT_MS);
+    first.setListed(createServers('v1', 'v2'));
+    await runFor(2 * RECORDED_TIMEOUT_MS);
+    for (const records of [first, late]) {
+      expect(records.isRecorded('engine', 'v2')).to.equal(true);
+    }
+    expect(store.writes).to.equal(2);
+  });
+
   // Each caller of a killed entry takes up its stream at the same moment.
   it('are read a few times for many callers at once', async () => {
     const { entries, store, runFor } = createFleet(1);
