Begin no stream at a version that only another one's record hides

A version is recorded before streams begin at its servers, except where none of the listed versions was recorded: then each could be used. During a release, an entry whose servers were all of the new version began streams there before its write, while an entry that was cut off or stood still read a record that names the older version alone, and took the stream for one of that.

The exception now holds only where the record names no version at all, which nobody takes for an answer. Otherwise such streams wait for the write, or are refused as not run while the store cannot be written. The test has a store that refuses writes: before, the first entry could begin at v2 while the late one found v1 as the only version; now it cannot until the row is written, and then the late entry finds none.

--- a/packages/gateway/src/version-records.ts
+++ b/packages/gateway/src/version-records.ts
@@ -57,8 +57,8 @@
   /** Replaces the routes by those of a configuration that is in force now. */
   setRoutes: (configuration: RoutingConfiguration) => void;
   /**
-   * Returns whether a stream may begin at a server of this version. Where none of the listed
-   * versions is recorded, as while the store cannot be written, each of them may be used.
+   * Returns whether a stream may begin at a server of this version. Where the record names no
+   * version, as while the store cannot be read at first, each one may be used.
    */
   isRecorded: (service: string, version: string) => boolean;
   /**
@@ -290,8 +290,8 @@
     },
     isRecorded(service, version) {
       const record = records.get(service)?.record;
-      if (isVersionRecorded(record, version)) return true;
-      return ![...(listed.get(service) ?? [])].some((each) => isVersionRecorded(record, each));
+      // Another entry would take a stream for one of the only version that the record names.
+      return isVersionRecorded(record, version) || (record?.versions.length ?? 0) === 0;
     },
     findOnly(route, service, onFound) {
       waiting.push((moment) => {
--- a/packages/gateway/test/version-records.test.ts
+++ b/packages/gateway/test/version-records.test.ts
@@ -55,6 +55,7 @@
   const store = {
     row: undefined as StoreRow | undefined,
     isDown: false,
+    refusesWrites: false,
     reads: 0,
     writes: 0,
   };
@@ -80,6 +81,7 @@
         async writeRow(_table, key, value, expectedRevision): Promise<WriteResult> {
           store.writes += 1;
           if (store.isDown) return { kind: 'unknown', reason: 'down' };
+          if (store.refusesWrites) return { kind: 'refused', reason: 'busy' };
           const current = store.row?.revision ?? 0;
           if (expectedRevision !== current) return { kind: 'conflict', era: 1 };
           const revision = current + 1;
@@ -164,6 +166,23 @@
     expect(records.isRecorded('engine', 'v1')).to.equal(true);
   });
 
+  // Such a stream was taken up at an entry out of step, and joined to one of the named version.
+  it('that name another version let no stream begin before they are written', async () => {
+    const { entries, store, runFor } = createFleet(2);
+    const [first, late] = [...entries.values()] as [VersionRecords, VersionRecords];
+    for (const records of [first, late]) records.setListed(createServers('v1'));
+    await runFor(RECORDED_TIMEOUT_MS);
+    store.refusesWrites = true;
+    first.setListed(createServers('v2'));
+    await runFor(RECORDED_TIMEOUT_MS);
+    expect(await findOnly(late, runFor)).to.deep.equal(['v1']);
+    expect(first.isRecorded('engine', 'v2')).to.equal(false);
+    store.refusesWrites = false;
+    await runFor(2 * RECORDED_TIMEOUT_MS);
+    expect(await findOnly(late, runFor)).to.deep.equal([undefined]);
+    expect(first.isRecorded('engine', 'v2')).to.equal(true);
+  });
+
   // The entry marked the version as left, the first one as present, and so on: none could begin.
   it('that another entry wrote hold at one that has not listed the version yet', async () => {
     const { entries, store, runFor } = createFleet(2);
