Refuse waiting connections from a second on, and serve shorter waits

Idempotent requests are given up when they were not read for a second, so the refusal begins there; from 300 ms on the entry is not ready, as before, and serves what waits.

--- a/packages/gateway/src/accept-monitor.ts
+++ b/packages/gateway/src/accept-monitor.ts
@@ -6,7 +6,7 @@
 import { performance } from 'node:perf_hooks';
 import type { Clock } from '@masticbend/kernel/clock';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
-import { createAcceptWait } from '@masticbend/scheduling/accept-wait';
+import { Backlog, createAcceptWait } from '@masticbend/scheduling/accept-wait';
 import { parseAddress } from '@masticbend/settings/address';
 import { dialSocket } from './network.js';
 
@@ -102,8 +102,9 @@
     return false;
   }
 
-  function update(now: number): boolean {
-    const isBehind = wait.updateBehind(now);
+  function update(now: number): Backlog {
+    const backlog = wait.updateBacklog(now);
+    const isBehind = backlog !== Backlog.None;
     maxWaitMs = Math.max(maxWaitMs, wait.getWaitMs(now));
     if (isBehind && behindSince === undefined) {
       behindSince = now;
@@ -117,19 +118,19 @@
       maxWaitMs = 0;
       excess = 0;
     }
-    return isBehind;
+    return backlog;
   }
 
   return {
     classifyConnection(socket) {
       const now = clock.now();
       wait.recordAccepted(now, countTurns());
-      const isBehind = update(now);
+      const backlog = update(now);
       if (isDialling || waiting.size > 0 || wait.isProbeDue(now)) {
         if (takeProbe(socket)) return ConnectionKind.Probe;
         if (!isDialling && wait.isProbeDue(now)) openProbe();
       }
-      if (!isBehind) return ConnectionKind.Caller;
+      if (backlog !== Backlog.Excessive) return ConnectionKind.Caller;
       excess += 1;
       return ConnectionKind.Excess;
     },
@@ -139,7 +140,7 @@
     },
     isBehind() {
       wait.recordTurn(countTurns());
-      return update(clock.now());
+      return update(clock.now()) !== Backlog.None;
     },
     stop() {
       for (const { socket } of [...waiting.values()]) socket.destroy();
--- a/packages/scheduling/src/accept-wait.ts
+++ b/packages/scheduling/src/accept-wait.ts
@@ -12,11 +12,17 @@
 const RUN_MS = 100;
 /** Interval of the probes, and the greatest error of a wait. */
 const PROBE_INTERVAL_MS = 200;
+/** How far a process is behind with the connections that wait. */
+export const Backlog = { None: 'none', Late: 'late', Excessive: 'excessive' } as const;
+export type Backlog = (typeof Backlog)[keyof typeof Backlog];
+
 /**
- * Waits from which a process is behind, and below which it no longer is. Callers give up requests
- * that are not read within a third of their time, half a second for short ones.
+ * Waits from which connections are late, and from which they are too many to be served. Callers
+ * give up requests that are not read within a third of their time or a second.
  */
-const BEHIND_MS = 300;
+const LATE_MS = 300;
+const EXCESSIVE_MS = 1_000;
+/** Wait below which a process has caught up. */
 const CAUGHT_UP_MS = 100;
 
 /** Waits of one listening socket. Times are in milliseconds. */
@@ -33,8 +39,8 @@
   recordProbeEnded: (openedAt: number) => void;
   /** Returns the time that a connection which is accepted now has waited at least. */
   getWaitMs: (now: number) => number;
-  /** Returns whether connections wait too long; some time below that ends it. */
-  updateBehind: (now: number) => boolean;
+  /** Returns how far the process is behind; it stays so until it has caught up. */
+  updateBacklog: (now: number) => Backlog;
 }
 
 /** Returns the waits of a socket without connections. */
@@ -44,7 +50,7 @@
   let lastProbeAt = -Infinity;
   /** When the probes that wait were opened, in that order. */
   const waiting = new Set<number>();
-  let isBehind = false;
+  let backlog: Backlog = Backlog.None;
 
   function getWaitMs(now: number): number {
     const [first = now] = waiting;
@@ -69,9 +75,12 @@
     },
     recordProbeEnded: (openedAt) => waiting.delete(openedAt),
     getWaitMs,
-    updateBehind(now) {
-      isBehind = getWaitMs(now) >= (isBehind ? CAUGHT_UP_MS : BEHIND_MS);
-      return isBehind;
+    updateBacklog(now) {
+      const waitMs = getWaitMs(now);
+      if (waitMs < CAUGHT_UP_MS) backlog = Backlog.None;
+      else if (waitMs >= EXCESSIVE_MS) backlog = Backlog.Excessive;
+      else if (waitMs >= LATE_MS && backlog === Backlog.None) backlog = Backlog.Late;
+      return backlog;
     },
   };
 }
