Product's entry: place requests after what lies behind them was read

The test keeps the process busy for 100 ms with a request and the close behind it: one reservation before the change, none after it. The agents are not concerned: they grant what a kept connection of an entry asks for, and the entry asks for nothing before it has read the close.

--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -6,6 +6,7 @@
 import { randomBytes } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { waitForReads } from '@masticbend/kernel/event-loop';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import { ErrorKind, type Failure } from '@masticbend/protocol/error';
 import type { Configuration } from '@masticbend/settings/configuration';
@@ -138,6 +139,8 @@
       refuse(request, response, { kind: ErrorKind.BodyTooLarge });
       return;
     }
+    // In a busy process, the caller may have left since it sent the request.
+    await waitForReads();
     const caller = createCallerRequest(request, body);
     const result = classifyRequest(configuration, clientAccount, route, caller, findLength);
     if (!result.ok) {
--- a/packages/entry/test/caller-server.test.ts
+++ b/packages/entry/test/caller-server.test.ts
@@ -8,6 +8,7 @@
 const SEED = 20261204;
 const CHAT = JSON.stringify({ model: 'praline', messages: [{ role: 'user', content: 'hello' }] });
 const CHAT_PATH = '/v1/chat/completions';
+const BUSY_MS = 100;
 
 describe('caller server', () => {
   let agent: FakeAgent;
@@ -63,6 +64,21 @@
     expect((await sendCall(entry, 'POST', CHAT_PATH, {}, CHAT)).text).to.equal('whole');
   });
 
+  // A busy entry reserved a place at an engine and could send the request there.
+  it('does not place a request whose caller left before it was read', async () => {
+    const caller = openRawCaller(entry.port);
+    const headers = [`content-length: ${CHAT.length}`];
+    caller.write(formatRequest('POST', CHAT_PATH, headers, CHAT));
+    await caller.waitFor('whole');
+    const reserved = agent.count('reserve');
+    caller.write(formatRequest('POST', CHAT_PATH, headers, CHAT));
+    caller.close();
+    const busyUntil = performance.now() + BUSY_MS;
+    while (performance.now() < busyUntil);
+    await sendCall(entry, 'POST', CHAT_PATH, {}, CHAT);
+    expect(agent.count('reserve')).to.equal(reserved + 1);
+  });
+
   it('answers each wrong call with its error', async () => {
     const calls: [string, string, Record<string, string>, string?][] = [
       ['POST', CHAT_PATH, {}, '{'],
--- a/packages/gateway/src/caller-connection.ts
+++ b/packages/gateway/src/caller-connection.ts
@@ -7,12 +7,12 @@
 import type { Socket } from 'node:net';
 import { abortAnswer } from '@masticbend/kernel/broken-answer';
 import type { Clock } from '@masticbend/kernel/clock';
+import { runAfterReads } from '@masticbend/kernel/event-loop';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import { REQUEST_ID_HEADER } from '@masticbend/platform/ingress';
 import type { HeldSample } from '@masticbend/scheduling/held-bytes';
 import type { BoundedConnection } from './bounded-readers.js';
 import { createCallerInput } from './caller-input.js';
-import { runAfterReads } from './event-loop.js';
 import { closeLingering } from './lingering-close.js';
 
 /** Time by which an idle connection stays open longer than its caller was told. */
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -6,6 +6,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { waitFor, type Clock } from '@masticbend/kernel/clock';
+import { runAfterReads } from '@masticbend/kernel/event-loop';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import { readRequestMetadata } from '@masticbend/platform/ingress';
 import { ErrorKind, type Failure } from '@masticbend/protocol/error';
@@ -20,7 +21,6 @@
   type OpenRequest,
 } from './caller-connection.js';
 import { createDelivery, type DeliveryBounds } from './delivery.js';
-import { runAfterReads } from './event-loop.js';
 import { refuseConnection } from './excess-connections.js';
 import { startServer } from './network.js';
 import { checkRequestHead, hasMalformedName, isContinueExpected } from './request-head.js';
