Soak: callers that leave at once

No caller of the soak left before its request was read, so that it could not show requests that an entry passes on for nobody. Callers on connections of their own now also leave as soon as they have sent a request, beside entries that are stopped and continued; such a request must not run later than half a second after that.

--- a/packages/bench/src/soak/checks.ts
+++ b/packages/bench/src/soak/checks.ts
@@ -2,7 +2,8 @@
 import { checkBlockedRequests } from './blocked-requests.js';
 import type { CallRecord } from './call-record.js';
 import { CRASHING_PART, formatBody, formatEvents, formatLargeBody, type Run } from './engine.js';
-import type { History } from './history.js';
+import { isOverlapping, type History } from './history.js';
+import { LEFT_AT_ONCE } from './kept-callers.js';
 import { checkAnswered } from './lost-answers.js';
 import { BOUNDS, type Crash } from './cluster.js';
 
@@ -22,6 +23,9 @@
 const BLOCKING_MS = 3_000;
 const MAX_RUNS_WHEN_BLOCKED = 3;
 
+/** Time after the leaving of a caller in which its request may still run. */
+const LEFT_MS = 500;
+
 /** Statuses which promise that a request has not run. */
 const REFUSALS = [408, 421, 429, 503];
 /** Software version in the first event of a stream. */
@@ -55,6 +59,7 @@
     ...observed.records.flatMap((record) =>
       checkAnswered(record, runs.get(record.id) ?? [], observed),
     ),
+    ...observed.records.flatMap((record) => checkLeft(record, runs.get(record.id) ?? [], observed)),
     ...observed.records.flatMap((record) => checkKey(record, observed)),
     ...observed.runs.flatMap((run) => checkLeaving(run, observed)),
     ...checkBlocked(observed),
@@ -92,6 +97,26 @@
   return [];
 }
 
+/** An entry that reads a request late finds the close of its caller behind it. */
+function checkLeft(
+  { id, behaviour, entry, endedAt }: CallRecord,
+  runs: readonly Run[],
+  { history }: Observations,
+): string[] {
+  if (behaviour !== LEFT_AT_ONCE) return [];
+  const late = runs.filter(
+    ({ server, startedAt }) =>
+      startedAt > endedAt + LEFT_MS + CLOCK_TOLERANCE_MS &&
+      !history.engineBreaks.some(
+        (span) => span.name === server && isOverlapping(span, endedAt, startedAt),
+      ),
+  );
+  return late.map(
+    ({ startedAt }) =>
+      `${id} ran ${Math.round(startedAt - endedAt)} ms after its caller had left ${entry}`,
+  );
+}
+
 function checkKey({ id, key, sentAt, status }: CallRecord, { revokedAt }: Observations): string[] {
   const at = revokedAt.get(key);
   if (at === undefined || sentAt < at + BOUNDS.keyFreshnessMs + CLOCK_TOLERANCE_MS) return [];
--- a/packages/bench/src/soak/kept-callers.ts
+++ b/packages/bench/src/soak/kept-callers.ts
@@ -1,8 +1,8 @@
 /**
  * Callers that keep connections of their own, until the entry closes them or its process is gone,
  * and use them in unusual ways: next heads that come too early, in pieces or malformed, slow bodies
- * and readers, callers that read nothing and leave, half-closed connections, and connections that
- * are idle as long as allowed.
+ * and readers, callers that read nothing and leave, callers that leave at once, half-closed
+ * connections, and connections that are idle as long as allowed.
  */
 import {
   CALLER_DEADLINE_MS,
@@ -32,6 +32,8 @@
 const MAX_IDLE_MS = 4_000;
 /** Bytes in the line of a head that is too large. */
 const LARGE_LINE_BYTES = 80 * 1024;
+/** Behaviour of requests whose callers leave without waiting. */
+export const LEFT_AT_ONCE = 'left at once';
 const HEAD_REFUSALS = [400, 408, 431];
 const CALL_PATHS = ['/once/', '/again/'];
 const PATHS = [...CALL_PATHS, '/stream/', '/resume-stream/'];
@@ -191,6 +193,15 @@
     connection.close();
   }
 
+  /** Leaves as soon as a request was sent, which a busy or stopped entry has not read by then. */
+  async function leaveAtOnce(use: Use): Promise<void> {
+    const { record, bytes } = openRequest(use, LEFT_AT_ONCE);
+    use.connection.write(bytes);
+    const sentAt = performance.now();
+    Object.assign(record, { hasLeft: true, interrupted: true, sentAt, endedAt: sentAt });
+    use.connection.close();
+  }
+
   async function sendHalfClose(use: Use): Promise<void> {
     const { record, bytes } = openRequest(use, 'half-close');
     record.hasLeft = true;
@@ -220,6 +231,7 @@
     sendSlowBody,
     readSlowly,
     leaveUnread,
+    leaveAtOnce,
     sendHalfClose,
     sendAfterIdle,
     (use: Use) => sendPlain(use),
