Probes of the accept queue end in their order

A probe whose accepted end was taken for a caller's would have kept the measured wait growing while connections come in every turn, so that an entry refused callers that did not wait. That needs two probes that are opened at once, which the close of an earlier one allowed. Found by reading; the end of a probe now ends those before it, as the queue is in order, and an earlier close no longer ends the dial of a later probe.

--- a/packages/gateway/src/accept-monitor.ts
+++ b/packages/gateway/src/accept-monitor.ts
@@ -47,7 +47,9 @@
   const wait = createAcceptWait();
   /** Probes that wait to be accepted, by their local port. */
   const waiting = new Map<number, Probe>();
-  let isDialling = false;
+  /** Number of the probe that is being opened, and of the last one. */
+  let dialling: number | undefined;
+  let lastProbe = 0;
   /** Connections that were accepted while the last probe was being opened, by remote port. */
   const accepted = new Map<number, Socket>();
   let behindSince: number | undefined;
@@ -56,10 +58,12 @@
   let excess = 0;
 
   function openProbe(): void {
-    isDialling = true;
+    lastProbe += 1;
+    const probe = lastProbe;
+    dialling = probe;
     accepted.clear();
     dialSocket(clock, { host, port, timeoutMs: DIAL_TIMEOUT_MS }, addProbe, () => {
-      isDialling = false;
+      if (dialling === probe) dialling = undefined;
     });
   }
 
@@ -98,7 +102,7 @@
       socket.destroy();
       return true;
     }
-    if (isDialling) accepted.set(remotePort, socket);
+    if (dialling !== undefined) accepted.set(remotePort, socket);
     return false;
   }
 
@@ -126,9 +130,9 @@
       const now = clock.now();
       wait.recordAccepted(now, countTurns());
       const backlog = update(now);
-      if (isDialling || waiting.size > 0 || wait.isProbeDue(now)) {
+      if (dialling !== undefined || waiting.size > 0 || wait.isProbeDue(now)) {
         if (takeProbe(socket)) return ConnectionKind.Probe;
-        if (!isDialling && wait.isProbeDue(now)) openProbe();
+        if (dialling === undefined && wait.isProbeDue(now)) openProbe();
       }
       if (backlog !== Backlog.Excessive) return ConnectionKind.Caller;
       excess += 1;
--- a/packages/scheduling/src/accept-wait.ts
+++ b/packages/scheduling/src/accept-wait.ts
@@ -35,7 +35,7 @@
   isProbeDue: (now: number) => boolean;
   /** A probe waits to be accepted. */
   recordProbeOpened: (now: number) => void;
-  /** The probe that was opened at this time was accepted or has failed. */
+  /** The probe that was opened at this time, and so all before it, was accepted or has failed. */
   recordProbeEnded: (openedAt: number) => void;
   /** Returns the time that a connection which is accepted now has waited at least. */
   getWaitMs: (now: number) => number;
@@ -73,7 +73,9 @@
       lastProbeAt = now;
       waiting.add(now);
     },
-    recordProbeEnded: (openedAt) => waiting.delete(openedAt),
+    recordProbeEnded(openedAt) {
+      for (const each of waiting) if (each <= openedAt) waiting.delete(each);
+    },
     getWaitMs,
     updateBacklog(now) {
       const waitMs = getWaitMs(now);
--- a/packages/scheduling/test/accept-wait.test.ts
+++ b/packages/scheduling/test/accept-wait.test.ts
@@ -49,6 +49,16 @@
     expect(wait.getWaitMs(700)).to.equal(400);
   });
 
+  // A probe whose end was not seen made an entry refuse callers that did not wait.
+  it('ends with the acceptance of a later probe', () => {
+    acceptUntil(100);
+    wait.recordProbeOpened(100);
+    wait.recordProbeOpened(300);
+    wait.recordProbeEnded(300);
+    acceptUntil(700);
+    expect(wait.getWaitMs(700)).to.equal(0);
+  });
+
   // A probe that is never accepted must not keep the process behind.
   it('ends with a turn without a connection', () => {
     acceptUntil(100);
