--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -24,6 +24,7 @@
 import { refuseConnection } from './excess-connections.js';
 import { startServer } from './network.js';
 import { checkRequestHead, hasMalformedName, isContinueExpected } from './request-head.js';
+import { readBody } from './request-body.js';
 import { readTarget } from './request-target.js';
 import type { Requests } from './requests.js';
 import { STOPPED, TOO_MANY_BYTES } from './unserved-requests.js';
@@ -302,36 +303,3 @@
   server.headersTimeout = headerMs;
   server.keepAliveTimeout = idleMs;
 }
-
-/**
- * Reads a complete body. Calls `onBody` with undefined when it exceeds `maxBytes`, and not at all
- * when the request is refused or the connection fails before its end.
- */
-function readBody(
-  { request, response }: OpenRequest,
-  maxBytes: number,
-  onBody: (body: Buffer | undefined) => void,
-): void {
-  let chunks: Buffer[] = [];
-  let bytes = 0;
-  let isDone = false;
-  request.on('data', (chunk: Buffer) => {
-    if (response.writableEnded) {
-      isDone = true;
-      chunks = [];
-    }
-    if (isDone) return;
-    bytes += chunk.length;
-    chunks.push(chunk);
-    if (bytes <= maxBytes) return;
-    isDone = true;
-    onBody(undefined);
-  });
-  request.on('end', () => {
-    if (!isDone && !response.writableEnded) onBody(Buffer.concat(chunks));
-  });
-  // The connection failed before the request was complete: there is no caller left to answer.
-  request.on('error', () => {
-    isDone = true;
-  });
-}
