Tell an agent of a leaving only for the incarnation that said so

After workers were restarted under their ids while the way from them was cut, no request of their service was served any more, though they were idle and ready. The answers of their last life said that they were leaving and arrived when the next one had registered; the entry reported the leaving by id, and agent and entries took the present incarnation for a leaving one, for good (review, case 5).

A leaving is now reported only while the incarnation that said so is the registered one.

--- a/packages/gateway/src/server-notices.ts
+++ b/packages/gateway/src/server-notices.ts
@@ -38,9 +38,11 @@
 export function createServerNotices(options: ServerNoticesOptions): ServerNotices {
   const { clock, log, serverPool, limitShare, reportLeaving } = options;
 
-  function handleLeaving({ server }: ServerEntry, source: string): void {
+  function handleLeaving(entry: ServerEntry, source: string): void {
+    const { server } = entry;
     log.info(LogEvent.LeavingChanged, { server: server.id, born: server.bornAt, source });
-    reportLeaving(server.id);
+    // The answer of an earlier incarnation may arrive when the next one has registered.
+    if (serverPool.find(server.id) === entry) reportLeaving(server.id);
   }
 
   function writeLimit({ server, limit }: ServerEntry, source: string): void {
