One registration with a padded address ended every entry

Cause: isAddress compared the numbers of an address as decimals, so that 127.000.000.009:9000 passed; URL parsers take 009 for octal, and `new Pool` throws `Invalid URL` in the middle of a placement. The stack in process-failed shows findPool of the client of the servers.

isAddress now accepts what net.isIPv4 accepts, and ports without leading zeros, so that each accepted text has one reading. It serves registrations, rows of entries and settings files alike.

--- /dev/null
+++ b/packages/gateway/test/entry-process.ts
@@ -0,0 +1,118 @@
+/**
+ * The entry program as a process of its own, with a store stand-in and scripted backend servers in
+ * the process of the test. An end of the entry by itself and its memory are seen from outside.
+ */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { startStoreStandIn, type StoreStandIn } from '@masticbend/platform/store-standin';
+import { stringify } from 'smol-toml';
+import type { GatewaySettings } from '../src/settings.js';
+import { startBackend, type Script, type ScriptedBackend } from './backend.js';
+import {
+  createDocument,
+  createRegistration,
+  createSettings,
+  waitUntil,
+  waitUntilServing,
+} from './harness.js';
+
+const PROGRAM = fileURLToPath(new URL('../src/main.ts', import.meta.url));
+/** The program is compiled at its start. */
+const START_TIMEOUT_MS = 15_000;
+const KIB = 1_024;
+
+/** A running entry and what it depends on. */
+export interface EntryProcess {
+  child: ChildProcess;
+  settings: GatewaySettings;
+  store: StoreStandIn;
+  backends: ScriptedBackend[];
+  /** Lines of its log, and what else it wrote. */
+  readLog: () => string[];
+  /** Largest memory of the process so far, in bytes. */
+  readPeakMemory: () => number;
+  /** Whether the process has ended. */
+  hasEnded: () => boolean;
+  close: () => Promise<void>;
+}
+
+/** What differs from the default deployment. */
+export interface EntryProcessOptions {
+  bounds?: Partial<GatewaySettings['bounds']>;
+  /** Changes of the configuration document. */
+  configuration?: object;
+  /** Changes of the backend servers' registrations. */
+  registration?: object;
+  contracts?: string;
+}
+
+/** Starts an entry in front of backend servers; resolves once it is ready. */
+export async function startEntryProcess(
+  scripts: Script[],
+  { bounds, configuration, registration, contracts = '' }: EntryProcessOptions = {},
+): Promise<EntryProcess> {
+  const store = await startStoreStandIn();
+  const backends = await Promise.all(scripts.map((script) => startBackend(script)));
+  store.put('op', 'config', createDocument(configuration));
+  backends.forEach(({ address }, index) =>
+    store.put('servers', `i-${index}`, createRegistration(address, registration)),
+  );
+  const { features, ...defaults } = await createSettings(store.address);
+  const settings = { ...defaults, logLevel: 'info', bounds: { ...defaults.bounds, ...bounds } };
+  const folder = mkdtempSync(join(tmpdir(), 'masticbend-entry-'));
+  const path = join(folder, 'entry.toml');
+  writeFileSync(path, stringify({ ...settings, contracts }));
+  const child = spawn(
+    process.execPath,
+    ['--import=tsx', '--conditions=source', '--no-warnings', PROGRAM, path],
+    { stdio: ['ignore', 'pipe', 'pipe'] },
+  );
+  let text = '';
+  let ended = false;
+  for (const stream of [child.stdout, child.stderr]) {
+    stream.on('data', (chunk: Buffer) => {
+      text += chunk.toString();
+    });
+  }
+  const exited = new Promise<void>((resolve) => {
+    child.once('exit', () => {
+      ended = true;
+      resolve();
+    });
+  });
+
+  const entry: EntryProcess = {
+    child,
+    settings: { ...settings, features },
+    store,
+    backends,
+    readLog: () => text.split('\n').filter((line) => line !== ''),
+    readPeakMemory: () => readPeakMemory(child.pid!),
+    hasEnded: () => ended,
+    async close() {
+      child.kill('SIGKILL');
+      await exited;
+      await Promise.all(backends.map((backend) => backend.close()));
+      await store.close();
+      rmSync(folder, { recursive: true });
+    },
+  };
+  try {
+    await waitUntil(() => ended || text.includes('event=process-started'), START_TIMEOUT_MS);
+    await waitUntilServing(entry.settings, store);
+  } catch (error) {
+    await entry.close();
+    throw new Error(`the entry did not start: ${text}`, { cause: error });
+  }
+  return entry;
+}
+
+/** Reads the peak of the resident memory of a process from `/proc`. */
+function readPeakMemory(pid: number): number {
+  const [, kibibytes] =
+    /^VmHWM:\s+(\d+) kB$/m.exec(readFileSync(`/proc/${pid}/status`, 'utf8')) ?? [];
+  return Number(kibibytes) * KIB;
+}
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -59,6 +59,27 @@
   tenants: [{ name: 'bakery', api_keys: [KEY], priority: 1, rate_per_s: 0 }],
 };
 
+/** Returns the default configuration document with changes. */
+export function createDocument(changes: object = {}): object {
+  return { ...DOCUMENT, ...changes };
+}
+
+/** Returns the registration of a backend server with changes. */
+export function createRegistration(address: string, changes: object = {}): object {
+  return {
+    service: 'plain',
+    address,
+    zone: 'z1',
+    slots: 4,
+    state: 'ready',
+    cold_left_ms: 0,
+    born: 1,
+    version: 'v1',
+    sequence: 1,
+    ...changes,
+  };
+}
+
 /** A small deployment. */
 export interface Deployment {
   store: StoreStandIn;
@@ -145,17 +166,9 @@
   const entries: Gateway[] = [gateway];
 
   function writeServer(index: number, changes: object = {}): void {
-    store.put('servers', `i-${index}`, {
-      service: 'plain',
-      address: backends[index]!.address,
-      zone: 'z1',
-      slots: 4,
-      state: 'ready',
-      cold_left_ms: 0,
-      born: 1,
-      version: versions[index] ?? 'v1',
-      ...changes,
-    });
+    const version = versions[index] ?? 'v1';
+    const row = createRegistration(backends[index]!.address, { version, ...changes });
+    store.put('servers', `i-${index}`, row);
   }
 
   async function call(path: string, options: CallOptions = {}): Promise<Reply> {
@@ -190,7 +203,7 @@
     entries,
     settings,
     logLines,
-    writeConfiguration: (changes) => store.put('op', 'config', { ...DOCUMENT, ...changes }),
+    writeConfiguration: (changes) => store.put('op', 'config', createDocument(changes)),
     writeServer,
     moveRoutes(service) {
       const routes = DOCUMENT.routes.map((route) => ({ ...route, service }));
@@ -231,10 +244,13 @@
   });
 }
 
-export async function waitUntil(check: () => boolean | Promise<boolean>): Promise<void> {
-  const end = performance.now() + WAIT_TIMEOUT_MS;
+export async function waitUntil(
+  check: () => boolean | Promise<boolean>,
+  timeoutMs = WAIT_TIMEOUT_MS,
+): Promise<void> {
+  const end = performance.now() + timeoutMs;
   while (!(await check())) {
-    if (performance.now() > end) throw new Error(`not true within ${WAIT_TIMEOUT_MS} ms`);
+    if (performance.now() > end) throw new Error(`not true within ${timeoutMs} ms`);
     await waitFor(WAIT_CHECK_INTERVAL_MS);
   }
 }
--- a/packages/settings/src/address.ts
+++ b/packages/settings/src/address.ts
@@ -1,7 +1,8 @@
 /** Addresses of the form `IP:port`. */
+import { isIPv4 } from 'node:net';
 
-const ADDRESS_PATTERN = /^(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})$/;
-const MAX_OCTET = 255;
+/** A port without leading zeros. */
+const PORT_PATTERN = /^[1-9]\d{0,4}$/;
 const MAX_PORT = 65_535;
 
 /** Splits `IP:port` into its parts, which are not checked. */
@@ -10,10 +11,12 @@
   return { host: text.slice(0, separator), port: Number(text.slice(separator + 1)) };
 }
 
-/** Returns whether a text is an IPv4 address with a port from 1 to 65535. */
+/**
+ * Returns whether a text is an IPv4 address with a port from 1 to 65535. Numbers with leading zeros
+ * are none: URL parsers read them as octal.
+ */
 export function isAddress(text: string): boolean {
-  const [, ...parts] = ADDRESS_PATTERN.exec(text) ?? [];
-  if (parts.length === 0) return false;
-  const port = Number(parts.pop());
-  return port > 0 && port <= MAX_PORT && parts.every((part) => Number(part) <= MAX_OCTET);
+  const separator = text.lastIndexOf(':');
+  const port = text.slice(separator + 1);
+  return isIPv4(text.slice(0, separator)) && PORT_PATTERN.test(port) && Number(port) <= MAX_PORT;
 }
