Numbers of the configuration beyond their range ended entries or refused all requests

A negative idle timeout ended each entry with its next answer (ERR_OUT_OF_RANGE in socket.setTimeout); negative limits of bytes refused every request; a route's timeout beyond 2^31 ms expired requests at their arrival; objectives beyond it sent each request to a second server at once; requests with a negative size closed the links between entries on each report.

Cause: decodeConfiguration checked the types of numbers, not their ranges.

An odd value is replaced by its default, or shortened, and named in the log (configuration-fault), which had no line for such values before.

The check of a configuration had a warning for a negative limit of bytes. It is an error now, so that the case moves to a test of its own, which asks for exit code 1 where the warning had 0.

--- a/packages/gateway/src/view-service.ts
+++ b/packages/gateway/src/view-service.ts
@@ -10,6 +10,7 @@
   CONFIGURATION_TABLE,
   decodeConfiguration,
 } from '@masticbend/platform/configuration';
+import type { ConfigurationFault } from '@masticbend/platform/section';
 import type { StoreRow } from '@masticbend/platform/store';
 import type { AccountLimit, RoutingConfiguration } from '@masticbend/settings/routing';
 import { createConfigurationView, type ConfigurationView } from './configuration-view.js';
@@ -23,6 +24,9 @@
 /** Age of the last read from which an entry is not ready, as a fraction of the allowed key age. */
 const READINESS_FRACTION = 0.6;
 
+/** Faults of one version that are logged one by one. */
+const MAX_LOGGED_FAULTS = 10;
+
 /** Returns the service; it reads nothing before it is started. */
 export function createViewService(
   kernel: Kernel<GatewayServices>,
@@ -52,11 +56,14 @@
   function applyRows(rows: readonly StoreRow[], { peer, ageMs }: RowSource): void {
     const row = rows.filter(({ key, deleted }) => key === CONFIGURATION_KEY && !deleted).at(-1);
     if (!row) return;
-    const configuration = decodeConfiguration(row.value);
+    const faults: ConfigurationFault[] = [];
+    const configuration = decodeConfiguration(row.value, (fault) => faults.push(fault));
     if (!configuration) {
       log.error(LogEvent.ConfigurationRejected, {
         revision: row.revision,
         bytes: row.value.length,
+        place: faults[0]?.place,
+        expected: faults[0]?.expected,
       });
       return;
     }
@@ -74,12 +81,20 @@
       peer,
       ageMs: Math.round(ageMs),
     });
+    writeFaults(configuration.version, faults);
     kernel.find('limits').setLimits(kernel.find('clock').now(), listLimits(configuration));
     updateAgents(kernel);
     kernel.find('versions').setRoutes(configuration);
     kernel.find('ingress').applyLimits();
   }
 
+  /** Values are left out of the log, since they may be keys. */
+  function writeFaults(version: number, faults: readonly ConfigurationFault[]): void {
+    for (const { place, expected } of faults.slice(0, MAX_LOGGED_FAULTS)) {
+      log.warn(LogEvent.ConfigurationFault, { version, place, expected, faults: faults.length });
+    }
+  }
+
   const feed = createTableFeed({
     intervalMs: configurationMs * READ_INTERVAL_FRACTION,
     store: kernel.find('store'),
--- a/packages/gateway/test/check-configuration.test.ts
+++ b/packages/gateway/test/check-configuration.test.ts
@@ -62,7 +62,7 @@
     { name: 'second', api_keys: [KEY], rate_per_s: 5, unit: 'tokens', uncached_tokens: 200 },
     { name: 'without', api_keys: [] },
   ],
-  limits: { max_header_bytes: 19, max_body_bytes: -1, idle_timeout_ms: 100 },
+  limits: { max_header_bytes: 19, idle_timeout_ms: 100 },
 };
 
 const NEXT = {
@@ -109,6 +109,14 @@
     expect(result.output).not.to.include(KEY);
   });
 
+  // A warning only: an entry that took such a limit refused every request.
+  it('lists numbers beyond their range as values that are not taken', () => {
+    const limits = { ...SOUND.limits, max_body_bytes: -1, idle_timeout_ms: 1e12 };
+    const result = run([write('ranges.json', { ...SOUND, limits })]);
+    expect(result).toMatchSnapshot();
+    expect(result.code).to.equal(1);
+  });
+
   it('lists entries without effect and contradicting limits', () => {
     const result = run(['warnings.json']);
     expect(result).toMatchSnapshot();
--- a/packages/kernel/src/log.ts
+++ b/packages/kernel/src/log.ts
@@ -64,6 +64,7 @@
   ConnectionRefused: 'connection-refused',
   ConfigurationApplied: 'configuration-applied',
   ConfigurationRejected: 'configuration-rejected',
+  ConfigurationFault: 'configuration-fault',
   PlatformUnavailable: 'platform-unavailable',
   PlatformRestored: 'platform-restored',
   RecordDropped: 'record-dropped',
--- a/packages/scheduling/src/configuration-check.ts
+++ b/packages/scheduling/src/configuration-check.ts
@@ -120,7 +120,7 @@
 }
 
 function checkCallerLimits(
-  { headerBytes, bodyBytes, headerMs, idleMs }: CallerLimits,
+  { headerBytes, headerMs, idleMs }: CallerLimits,
   { routes }: RoutingConfiguration,
 ): (string | false)[] {
   // The least headers are a `host` line, which every request of HTTP/1.1 must have.
@@ -131,7 +131,6 @@
   return [
     tooLong > 0 &&
       `${headerBytes} header bytes are below the host line of ${tooLong} of ${routes.length} routes`,
-    bodyBytes < 0 && `${bodyBytes} body bytes are met by no request`,
     idleMs < headerMs && `idle timeout ${idleMs} ms is below the header timeout ${headerMs} ms`,
   ];
 }
