The name of one client account closed all links between entries

An account with a name of over 512 characters was counted in each report, which the receiver refused, so that all links between entries closed again and again, and with them the sharing of limits and load.

Cause: names of the configuration had no bound, while the texts of messages and the keys of the store have one. An account's name that no header can hold failed each of its requests in the HTTP client.

--- a/packages/gateway/test/odd-configurations.test.ts
+++ b/packages/gateway/test/odd-configurations.test.ts
@@ -16,6 +16,7 @@
 const REPORTS_MS = 1_200;
 /** Work of a request, longer than a timer that fires at once. */
 const WORK_MS = 50;
+const LONG_NAME = 'n'.repeat(600);
 const FIRST_ACCOUNT = { name: 'bakery', api_keys: [KEY], priority: 1 };
 const ROUTE = {
   name: 'odd',
@@ -37,6 +38,12 @@
   'a negative header timeout': { limits: { ...DOCUMENT.limits, header_timeout_ms: -1 } },
   'a negative body limit': { limits: { ...DOCUMENT.limits, max_body_bytes: -1 } },
   'a negative header limit': { limits: { ...DOCUMENT.limits, max_header_bytes: -1 } },
+  'an account with a long name': {
+    tenants: [
+      FIRST_ACCOUNT,
+      { name: LONG_NAME, api_keys: ['key-2'], unit: 'tokens', rate_per_s: 100, burst: 100 },
+    ],
+  },
   'an account whose requests have negative sizes': {
     tenants: [
       FIRST_ACCOUNT,
@@ -50,6 +57,10 @@
       },
     ],
   },
+  'an account with a name that no header can hold': {
+    tenants: [FIRST_ACCOUNT, { name: 'first\nsecond', api_keys: ['key-2'] }],
+  },
+  'a service with a long name': { services: [...DOCUMENT.services, { name: LONG_NAME }] },
   'a route with a timeout beyond that of timers': {
     routes: [...DOCUMENT.routes, { ...ROUTE, timeout_ms: 1e12 }],
   },
