A configuration whose version is no whole number closed all links between entries

The version is part of each report between entries, which refuse a negative, fractional or huge one: the links closed on each report, and the document was in force.

Cause: decodeConfiguration took any finite number for a version.

--- a/packages/gateway/test/odd-configurations.test.ts
+++ b/packages/gateway/test/odd-configurations.test.ts
@@ -129,4 +129,16 @@
       expect(listEvents('attempt-silent')).to.deep.equal([]);
     });
   }
+
+  for (const version of [-1, 4.5, 1e300]) {
+    // The version is part of every report between entries, which closed the links on it.
+    it(`leaves the last version in force: version ${version}`, async () => {
+      await start();
+      deployment.writeConfiguration({ version });
+      await waitUntil(() => listEvents('configuration-rejected').length > 0);
+      await waitFor(REPORTS_MS);
+      expect(listEvents('peer-closed')).to.deep.equal([]);
+      await checkServed();
+    });
+  }
 });
