--- a/packages/gateway/test/entry-process.ts
+++ b/packages/gateway/test/entry-process.ts
@@ -70,13 +70,11 @@
     ['--import=tsx', '--conditions=source', '--no-warnings', PROGRAM, path],
     { stdio: ['ignore', 'pipe', 'pipe'] },
   );
-  let text = '';
+  const chunks: string[] = [];
   let ended = false;
-  for (const stream of [child.stdout, child.stderr]) {
-    stream.on('data', (chunk: Buffer) => {
-      text += chunk.toString();
-    });
-  }
+  const keepOutput = (chunk: Buffer) => chunks.push(chunk.toString());
+  child.stdout.on('data', keepOutput);
+  child.stderr.on('data', keepOutput);
   const exited = new Promise<void>((resolve) => {
     child.once('exit', () => {
       ended = true;
@@ -84,12 +82,19 @@
     });
   });
 
+  const readLog = () =>
+    chunks
+      .join('')
+      .split('\n')
+      .filter((line) => line !== '');
+  const hasStarted = () => readLog().some((line) => line.includes('event=process-started'));
+
   const entry: EntryProcess = {
     child,
     settings: { ...settings, features },
     store,
     backends,
-    readLog: () => text.split('\n').filter((line) => line !== ''),
+    readLog,
     readPeakMemory: () => readPeakMemory(child.pid!),
     hasEnded: () => ended,
     async close() {
@@ -101,11 +106,11 @@
     },
   };
   try {
-    await waitUntil(() => ended || text.includes('event=process-started'), START_TIMEOUT_MS);
+    await waitUntil(() => ended || hasStarted(), START_TIMEOUT_MS);
     await waitUntilServing(entry.settings, store);
   } catch (error) {
     await entry.close();
-    throw new Error(`the entry did not start: ${text}`, { cause: error });
+    throw new Error(`the entry did not start: ${readLog().join('\n')}`, { cause: error });
   }
   return entry;
 }
--- a/packages/gateway/test/odd-configurations.test.ts
+++ b/packages/gateway/test/odd-configurations.test.ts
@@ -87,9 +87,9 @@
   afterEach(() => deployment.close());
 
   async function start(): Promise<void> {
-    deployment = await startDeployment([({ socket }) => socket.write(formatAnswer(200, 'done'))], {
-      isLogged: true,
-    });
+    const work: Script = ({ socket }) =>
+      setTimeout(() => socket.write(formatAnswer(200, 'done')), WORK_MS);
+    deployment = await startDeployment([work, work], { isLogged: true });
     await deployment.startEntry();
     await deployment.waitUntilConnected(1);
   }
@@ -116,7 +116,7 @@
     caller.socket.destroy();
   }
 
-  for (const [place, changes] of Object.entries(ODD_CHANGES)) {
+  function addValueTest(place: string, changes: object): void {
     // Such a value ended the process where it was used, closed all links between entries, or let
     // requests expire at their arrival.
     it(`costs neither other requests nor links: ${place}`, async () => {
@@ -130,7 +130,9 @@
     });
   }
 
-  for (const version of [-1, 4.5, 1e300]) {
+  for (const [place, changes] of Object.entries(ODD_CHANGES)) addValueTest(place, changes);
+
+  function addVersionTest(version: number): void {
     // The version is part of every report between entries, which closed the links on it.
     it(`leaves the last version in force: version ${version}`, async () => {
       await start();
@@ -141,4 +143,6 @@
       await checkServed();
     });
   }
+
+  for (const version of [-1, 4.5, 1e300]) addVersionTest(version);
 });
