One odd row of the system's own tables closed the links of all entries

A row among the entries whose evidence of crashes had a count of -1, or a text that is too long, was read by each new entry and passed on to all others, which refused the message: their links closed on each try, until the row changed. Records of versions and of rollouts with a negative era or order do the same where they are in use.

Cause: rows were decoded to any number and text, and messages have bounds.

Evidence is taken where a message can carry it, by the check of messages itself. Records and rollout rows are decoded to whole numbers, amounts and names.

--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -7,8 +7,10 @@
 import { startPause, type Clock } from '@masticbend/kernel/clock';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import { parseJson, readFields, readText } from '@masticbend/platform/decode';
+import { checkMessage } from '@masticbend/protocol/shape';
 import type { SuspectEvidence } from '@masticbend/scheduling/suspect-record';
 import { isAddress } from '@masticbend/settings/address';
+import { createMessage } from './crash-outbox.js';
 import type { EraStore } from './store-era.js';
 
 /** Table of the entries; the key is the instance name. */
@@ -228,16 +230,16 @@
     // Entries of an earlier build store parts of prompts only, as `part`.
     const name = readText(suspect ?? part);
     if (name === undefined) return [];
-    return [
-      {
-        suspect: name,
-        crashes: readTexts(crashes),
-        refuted: readTexts(refuted),
-        trials: readCount(trials),
-        lostTrials: readCount(lostTrials ?? failedTrials),
-        failedTrials: readCount(failedTrials),
-      },
-    ];
+    const evidence = {
+      suspect: name,
+      crashes: readTexts(crashes),
+      refuted: readTexts(refuted),
+      trials: readCount(trials),
+      lostTrials: readCount(lostTrials ?? failedTrials),
+      failedTrials: readCount(failedTrials),
+    };
+    // Entries pass it on to each other, and close a link on what they refuse.
+    return checkMessage(createMessage([evidence])) === undefined ? [evidence] : [];
   });
 }
 
--- a/packages/gateway/src/rollout-row.ts
+++ b/packages/gateway/src/rollout-row.ts
@@ -1,5 +1,12 @@
 /** Rows of the store in which the system keeps its own state of rollouts, one for each service. */
-import { parseJson, readFields, readNumber, readText } from '@masticbend/platform/decode';
+import {
+  parseJson,
+  readAmount,
+  readFields,
+  readInteger,
+  readName,
+  readText,
+} from '@masticbend/platform/decode';
 import { RolloutStatus } from '@masticbend/platform/rollout';
 
 /** Table of the rows; the key is the service. */
@@ -62,10 +69,10 @@
 /** Decodes a row. Returns undefined when a field is missing or invalid. */
 export function decodeRolloutRow(bytes: Buffer): RolloutRow | undefined {
   const fields = readFields(parseJson(bytes));
-  const revision = readNumber(fields?.order);
-  const era = readNumber(fields?.era);
-  const to = readText(fields?.to);
-  const startedAt = readNumber(fields?.startedAt);
+  const revision = readInteger(fields?.order);
+  const era = readInteger(fields?.era);
+  const to = readName(fields?.to);
+  const startedAt = readAmount(fields?.startedAt);
   if (revision === undefined || era === undefined || startedAt === undefined) return undefined;
   if (to === undefined || !isRolloutStage(fields?.stage)) return undefined;
   const excluded = Array.isArray(fields.excluded) ? fields.excluded : [];
@@ -75,6 +82,6 @@
     stage: fields.stage,
     startedAt,
     reason: readText(fields.reason) ?? '',
-    excluded: excluded.filter((each) => typeof each === 'string'),
+    excluded: excluded.map(readName).filter((name) => name !== undefined),
   };
 }
--- a/packages/gateway/src/version-record-row.ts
+++ b/packages/gateway/src/version-record-row.ts
@@ -1,9 +1,11 @@
 /** Rows of the store that hold the records of software versions. */
 import {
   parseJson,
+  readAmount,
   readFields,
   readFieldsList,
-  readNumber,
+  readInteger,
+  readName,
   readText,
 } from '@masticbend/platform/decode';
 import type { VersionRecord } from '@masticbend/scheduling/version-record';
@@ -24,22 +26,22 @@
 /** Decodes a record. Returns undefined when a field is missing or invalid. */
 export function decodeVersionRecord(bytes: Buffer): VersionRecord | undefined {
   const fields = readFields(parseJson(bytes));
-  const era = readNumber(fields?.era);
-  const incompleteUntil = readNumber(fields?.incompleteUntil);
+  const era = readInteger(fields?.era);
+  const incompleteUntil = readAmount(fields?.incompleteUntil);
   if (!fields || era === undefined || incompleteUntil === undefined) return undefined;
   const versions = readFieldsList(fields.versions).map((each) => ({
-    version: readText(each.version),
-    leftAt: readNumber(each.leftAt),
+    version: readName(each.version),
+    leftAt: readAmount(each.leftAt),
   }));
   if (versions.some(({ version }) => version === undefined)) return undefined;
   const routes = readFieldsList(fields.routes).map((each) => ({
     route: readText(each.route) ?? '',
-    since: readNumber(each.since) ?? Infinity,
+    since: readAmount(each.since) ?? Infinity,
   }));
   return {
     era,
     incompleteUntil,
-    configuration: readNumber(fields.configuration) ?? 0,
+    configuration: readInteger(fields.configuration) ?? 0,
     routes,
     versions: versions.map(({ version, leftAt }) =>
       leftAt === undefined ? { version: version! } : { version: version!, leftAt },
