A row key with half of a character ended each entry that read its page

Where the last key of a page of rows had a lone surrogate, encodeURIComponent threw outside of the client's own handling, and the rejected read ended the process.

odd-rows, `do not keep a table from being read`: the second entry did not become ready before; passes.

--- a/packages/gateway/test/odd-rows.test.ts
+++ b/packages/gateway/test/odd-rows.test.ts
@@ -212,4 +212,15 @@
   }
 
   for (const seed of SEEDS) addTablesTest(seed);
+
+  // The next page could not be asked for, and the process that read the table ended.
+  it('do not keep a table from being read where the last key of a page is no text', async () => {
+    await start();
+    deployment.store.faults.pageRows = 1;
+    deployment.store.put('servers', '\ud800', { service: 'plain' });
+    deployment.store.put('servers', '\ud801', { service: 'plain' });
+    const address = await deployment.startEntry();
+    await waitUntil(() => deployment.store.has('entries', deployment.settings.instance));
+    await checkServed(address);
+  });
 });
