--- a/packages/gateway/src/servers-service.ts
+++ b/packages/gateway/src/servers-service.ts
@@ -5,8 +5,10 @@
 import type { Kernel, Lifecycle } from '@masticbend/kernel/kernel';
 import { LogEvent } from '@masticbend/kernel/log';
 import { decodeBackendServer, SERVERS_TABLE } from '@masticbend/platform/backend-servers';
+import type { ConfigurationFault } from '@masticbend/platform/section';
 import type { StoreRow } from '@masticbend/platform/store';
 import { createServerList, type ServerChange } from '@masticbend/scheduling/server-list';
+import type { BackendServer } from '@masticbend/settings/routing';
 import type { GatewayServices } from './services.js';
 import type { GatewaySettings } from './settings.js';
 import { createTableFeed, READ_INTERVAL_FRACTION, type TableFeed } from './table-feed.js';
@@ -38,6 +40,8 @@
   const versions = kernel.find('versions');
   const rollouts = kernel.find('rollouts');
   const serverList = createServerList();
+  /** Revisions of the rows that name no server, by key. */
+  const rejected = new Map<string, number>();
   let stopExpiryTimer = () => {};
   let getRevision = () => 0;
 
@@ -73,10 +77,24 @@
     );
   }
 
+  /** Decodes a row; one that names no server is logged when it is first read. */
+  function decodeRow({ key, value, revision }: StoreRow): BackendServer | undefined {
+    const faults: ConfigurationFault[] = [];
+    const server = decodeBackendServer(key, value, (fault) => faults.push(fault));
+    if (!server && rejected.get(key) !== revision) {
+      const [{ place, expected }] = faults as [ConfigurationFault];
+      log.warn(LogEvent.RegistrationRejected, { server: key, revision, place, expected });
+    }
+    if (server) rejected.delete(key);
+    else rejected.set(key, revision);
+    return server;
+  }
+
   /** Handles a row that cannot be decoded like a deleted one. */
-  function applyRow({ key, value, deleted }: StoreRow): ServerChange[] {
-    const server = deleted ? undefined : decodeBackendServer(key, value);
-    return server ? serverList.set(server) : serverList.remove(getElapsed(), key);
+  function applyRow(row: StoreRow): ServerChange[] {
+    if (row.deleted) rejected.delete(row.key);
+    const server = row.deleted ? undefined : decodeRow(row);
+    return server ? serverList.set(server) : serverList.remove(getElapsed(), row.key);
   }
 
   const feed = createTableFeed({
@@ -90,8 +108,9 @@
     events: {
       onRead: () => kernel.find('relay').answerWaiting(SERVERS_TABLE),
       onTable(rows) {
-        const servers = rows.map(({ key, value }) => decodeBackendServer(key, value));
-        const usable = servers.filter((server) => server !== undefined);
+        const keys = new Set(rows.map(({ key }) => key));
+        for (const key of rejected.keys()) if (!keys.has(key)) rejected.delete(key);
+        const usable = rows.map(decodeRow).filter((server) => server !== undefined);
         applyChanges(serverList.setAll(getElapsed(), usable));
       },
       onChanges: (rows) => applyChanges(rows.flatMap(applyRow)),
--- a/packages/gateway/test/odd-registrations.test.ts
+++ b/packages/gateway/test/odd-registrations.test.ts
@@ -152,6 +152,33 @@
 
     afterEach(() => deployment.close());
 
+    // Another writer's row under a server's key, without four of its fields, got that server's
+    // requests, and nothing named the row.
+    it('get no request where a field is missing, and are named in the log', async () => {
+      const answer: Script = ({ socket }) => socket.write(formatAnswer(200, 'done'));
+      deployment = await startDeployment([answer, answer], { isLogged: true });
+      const [own, other] = deployment.backends;
+      const {
+        zone,
+        version,
+        cold_left_ms: cold,
+        sequence,
+        ...row
+      } = createRegistration(other!.address) as Record<string, unknown>;
+      expect([zone, version, cold, sequence]).to.deep.equal(['z1', 'v1', 0, 1]);
+      deployment.store.put('servers', 'i-0', row);
+      deployment.store.put('servers', 'i-1', row);
+      const isRejected = () =>
+        ['i-0', 'i-1'].every((id) =>
+          deployment.logLines.some((line) =>
+            line.includes(`event=registration-rejected server=${id} `),
+          ),
+        );
+      await waitUntil(isRejected);
+      expect((await deployment.call('/once/a')).status).to.equal(503);
+      expect([...own!.arrivals, ...other!.arrivals]).to.deep.equal([]);
+    });
+
     // Entries that read the list ended, or wrote what the store refuses again and again.
     it('cost neither the other rows nor calls to the store', async () => {
       deployment = await startDeployment([({ socket }) => socket.write(formatAnswer(200, 'done'))]);
--- a/packages/gateway/test/odd-rows.test.ts
+++ b/packages/gateway/test/odd-rows.test.ts
@@ -182,7 +182,7 @@
     );
   }
 
-  function putRows(table: string, prefix: string, rows: readonly unknown[]): void {
+  function writeRows(table: string, prefix: string, rows: readonly unknown[]): void {
     rows.forEach((row, index) => deployment.store.put(table, `${prefix}${index}`, row));
   }
 
@@ -198,7 +198,7 @@
       await start();
       for (const { table, prefix, fields } of Object.values(ROWS)) {
         const rows = fc.sample(createOddRow(fields), { seed, numRuns: ROWS_PER_TABLE });
-        putRows(table, prefix, rows);
+        writeRows(table, prefix, rows);
       }
       const address = await deployment.startEntry();
       await deployment.waitUntilConnected(1);
--- a/packages/kernel/src/log.ts
+++ b/packages/kernel/src/log.ts
@@ -25,6 +25,7 @@
   AttemptFailed: 'attempt-failed',
   AttemptSilent: 'attempt-silent',
   AttemptResumed: 'attempt-resumed',
+  RegistrationRejected: 'registration-rejected',
   ServerChanged: 'server-changed',
   ServerEjected: 'server-ejected',
   ServerCrashed: 'server-crashed',
