An agent's address that cannot be dialled was accepted in the configuration document

Cause: the schema had a pattern of its own beside isAddress. It uses isAddress now, for the document and for the settings of both programs.

settings/test/examples, `refuses addresses that cannot be dialled`: failed before, passes.

--- a/packages/settings/src/configuration.ts
+++ b/packages/settings/src/configuration.ts
@@ -4,6 +4,7 @@
  * together, since sections refer to each other.
  */
 import { z } from 'zod';
+import { address } from './address-schema.js';
 import type { ConfigurationDocument, Operation } from './document.js';
 import {
   checkToml,
@@ -17,7 +18,6 @@
 
 const name = z.string().regex(/^[a-z0-9][a-z0-9._-]{0,63}$/);
 const hash = z.string().regex(/^[0-9a-f]{64}$/);
-const address = z.string().regex(/^[0-9.]+:[0-9]{1,5}$/);
 
 /** Maximum number of tiers. */
 export const MAX_TIERS = 8;
--- a/packages/settings/src/process-settings.ts
+++ b/packages/settings/src/process-settings.ts
@@ -4,9 +4,9 @@
  */
 import { readFileSync } from 'node:fs';
 import { z } from 'zod';
+import { address } from './address-schema.js';
 import { checkToml, formatFault, type CheckResult } from './schema-fault.js';
 
-const address = z.string().regex(/^[0-9.]+:[0-9]{1,5}$/, 'expected an address as "IP:port"');
 const url = z.url();
 
 const platform = z.strictObject({
--- a/packages/settings/test/examples.test.ts
+++ b/packages/settings/test/examples.test.ts
@@ -35,6 +35,17 @@
     expect(checkEntrySettings(text)).toMatchSnapshot();
   });
 
+  // The check took addresses to which no connection can be opened, and the entry that dialled the
+  // agent ended by itself.
+  it('refuses addresses that cannot be dialled', () => {
+    const text = readExample('naschprobe', 'configuration.toml');
+    for (const agent of ['10.0.0.1:99999', '10.0.0.1:0', '999.0.0.1:80', '10.0.0.01:80', '1.2:3']) {
+      const result = parseConfiguration(text.replace(/agent = "[^"]+"/, `agent = "${agent}"`));
+      const keys = result.ok ? [] : result.faults.map(({ key }) => key.split('.').at(-1));
+      expect(keys).to.deep.equal(['agent']);
+    }
+  });
+
   it('reports the line of a TOML syntax error', () => {
     expect(checkEntrySettings('instance = "entry-1"\ndataCentre =')).toMatchSnapshot();
   });
