A success that is no stream was passed on as the rest of one

Reported by operators of a similar system, and possible here in part: after a stream had broken off, callers found the text of the next server's answer within it, or the stream ended as complete, where that answer was a signed success of another media type or status. Errors were kept out before.

Cause: an attempt that goes on with a stream took each signed success for its rest.

An answer that has begun is continued only by one with the same status and media type. An error ends the attempt with its head, so that its body is not kept. Delivery knows what it began with.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -31,6 +31,8 @@
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 const MAX_EVENT_BYTES = 256 * 1024;
 
+const NO_BODY = Buffer.alloc(0);
+
 interface AnswerHead {
   status: number;
   headers: HeaderMap;
@@ -204,9 +206,17 @@
     if (isNotRun(status, headers)) finish({ kind: 'not-run', status });
     else if (status < 300 && !isSigned(headers)) failAttempt('answer without a signature');
     else if (isEncoded(headers)) failAttempt('answer with a content encoding');
+    else if (delivery.hasBegun()) acceptRest(status, headers);
     else head = { status, headers };
   }
 
+  /** Takes the answer for the rest of a stream; the caller gets nothing of any other one. */
+  function acceptRest(status: number, headers: HeaderMap): void {
+    if (delivery.isContinuedBy(status, headers)) head = { status, headers };
+    else if (status < 300) failAttempt('answer is not the rest of the stream');
+    else finish({ kind: 'answer', status, headers, body: NO_BODY });
+  }
+
   function recordFirstOutput(): void {
     if (lastOutputAt !== undefined || sentAt === undefined) return;
     events.onFirstOutput(clock.now() - sentAt, head!.status);
--- a/packages/gateway/src/delivery.ts
+++ b/packages/gateway/src/delivery.ts
@@ -38,6 +38,11 @@
   /** Answers with a failure, or closes the connection if an answer has begun. */
   fail: (failure: Failure) => void;
   hasBegun: () => boolean;
+  /**
+   * Returns whether an answer with this head can be the rest of the one that has begun: its status
+   * and its media type are the same.
+   */
+  isContinuedBy: (status: number, headers: HeaderMap) => boolean;
 }
 
 /** What the owner of the connection counts of an answer, where it bounds the bytes held. */
@@ -55,6 +60,7 @@
   bounds?: DeliveryBounds,
 ): Delivery {
   let begun = false;
+  let begunWith: { status: number; type: string } | undefined;
   let isFinished = false;
 
   response.on('close', () => {
@@ -67,6 +73,7 @@
 
   function startAnswer(status: number, headers: HeaderMap): void {
     begun = true;
+    begunWith = { status, type: readMediaType(headers) };
     response.writeHead(status, selectAnswerHeaders(headers));
   }
 
@@ -118,5 +125,12 @@
       response.end(JSON.stringify(body));
     },
     hasBegun: () => begun,
+    isContinuedBy: (status, headers) =>
+      begunWith?.status === status && begunWith.type === readMediaType(headers),
   };
 }
+
+function readMediaType(headers: HeaderMap): string {
+  const [type = ''] = String(headers['content-type'] ?? '').split(';', 1);
+  return type.trim().toLowerCase();
+}
--- a/packages/gateway/test/attempt.test.ts
+++ b/packages/gateway/test/attempt.test.ts
@@ -26,6 +26,7 @@
     } as BackendClient;
     const delivery = {
       hasBegun: () => true,
+      isContinuedBy: () => true,
       write: () => isTaken,
       onDrain(next: () => void) {
         resume = next;
--- a/packages/gateway/test/entry-process.ts
+++ b/packages/gateway/test/entry-process.ts
@@ -47,15 +47,17 @@
   /** Changes of the backend servers' registrations. */
   registration?: object;
   contracts?: string;
+  /** Address on which the backend servers listen. */
+  host?: string;
 }
 
 /** Starts an entry in front of backend servers; resolves once it is ready. */
 export async function startEntryProcess(
   scripts: Script[],
-  { bounds, configuration, registration, contracts = '' }: EntryProcessOptions = {},
+  { bounds, configuration, registration, contracts = '', host }: EntryProcessOptions = {},
 ): Promise<EntryProcess> {
   const store = await startStoreStandIn();
-  const backends = await Promise.all(scripts.map((script) => startBackend(script)));
+  const backends = await Promise.all(scripts.map((script) => startBackend(script, host)));
   store.put('op', 'config', createDocument(configuration));
   backends.forEach(({ address }, index) =>
     store.put('servers', `i-${index}`, createRegistration(address, registration)),
