A stopping entry passed on requests that it could not answer any more

Reported by operators of a similar system, and possible here: requests that waited for a slot were sent until the last moment of the grace period and got 502 at its end, though another entry could have run them; in a grace period of 2 s, requests were accepted for 2.6 s, and cut by SIGKILL; requests whose server takes longer than what was left were taken.

Cause: only the arrival of a request was compared with the end of the period, not the moment at which it is sent, and the time of accepting was fixed.

From 2 s before the end on, nothing is sent or repeated, and what no server has got is refused as not run. Before, a request is refused where its answer is expected after the end. The entry listens no longer than the period lasts; a second SIGTERM does not move its end.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -56,7 +56,7 @@
 /** Fraction of the grace period after which the process stops even if requests are still open. */
 const GRACE_FRACTION = 0.97;
 const STOP_CHECK_INTERVAL_MS = 50;
-/** Time for an answer that a request which has just been read needs before the process stops. */
+/** Time that a request needs for an answer from when it is read or sent until the process stops. */
 const MIN_ANSWER_MS = 2_000;
 /** Timeout of the connection that shows whether a backend server has crashed. */
 const PROBE_TIMEOUT_MS = 400;
@@ -65,7 +65,7 @@
 /** A running entry. */
 export interface Gateway {
   start: () => Promise<void>;
-  /** Finishes open requests within the grace period, then stops. */
+  /** Finishes open requests within the grace period, then stops; a second call changes nothing. */
   stop: () => Promise<void>;
   /** Stops at once, without waiting for open requests. */
   kill: () => Promise<void>;
@@ -87,6 +87,7 @@
     kernel.find('members').refresh();
   });
   const state = { stopping: false };
+  let stopped: Promise<void> | undefined;
   let paces: PacedServers | undefined;
 
   /** Returns the paces of the servers; undefined where they are off. */
@@ -125,21 +126,26 @@
   kernel.provide('ingress', () => createIngressService(kernel, settings));
   kernel.provide('administration', () => createAdministration(kernel, settings, state));
 
+  async function stop(): Promise<void> {
+    const stopAt = clock.now() + settings.bounds.graceS * 1_000 * GRACE_FRACTION;
+    log.info(LogEvent.ProcessStopping, { open: kernel.find('requests').countOpen() });
+    state.stopping = true;
+    await finishOpenRequests(kernel, clock, stopAt);
+    const open = kernel.find('requests').countOpen();
+    kernel.find('requests').stopOpen();
+    await kernel.stop();
+    log.info(LogEvent.ProcessStopped, { open });
+  }
+
   return {
     log,
     async start() {
       await kernel.start();
       log.info(LogEvent.ProcessStarted, { address: settings.callerAddress });
     },
-    async stop() {
-      const stopAt = clock.now() + settings.bounds.graceS * 1_000 * GRACE_FRACTION;
-      log.info(LogEvent.ProcessStopping, { open: kernel.find('requests').countOpen() });
-      state.stopping = true;
-      await finishOpenRequests(kernel, clock, stopAt);
-      const open = kernel.find('requests').countOpen();
-      kernel.find('requests').stopOpen();
-      await kernel.stop();
-      log.info(LogEvent.ProcessStopped, { open });
+    stop() {
+      stopped ??= stop();
+      return stopped;
     },
     kill: () => kernel.stop(),
     dump: () => kernel.dump(),
@@ -148,7 +154,8 @@
 
 /**
  * Serves requests until the load balancer sends no more, then refuses new ones and waits until the
- * open ones are answered or `stopAt` has passed.
+ * open ones are answered or `stopAt` has passed. Where too little time is left for an answer, what
+ * no server has got is refused, so that its caller can go to another entry.
  */
 async function finishOpenRequests(
   kernel: Kernel<GatewayServices>,
@@ -157,13 +164,19 @@
 ): Promise<void> {
   const ingress = kernel.find('ingress');
   const requests = kernel.find('requests');
-  const closeAt = clock.now() + LAME_DUCK_MS;
+  const lateAt = stopAt - MIN_ANSWER_MS;
+  const closeAt = Math.min(clock.now() + LAME_DUCK_MS, stopAt);
+  const waitOnce = async () => {
+    if (clock.now() >= lateAt) requests.refuseUnsent();
+    await waitFor(clock, STOP_CHECK_INTERVAL_MS);
+  };
   ingress.beginStop();
-  while (clock.now() < closeAt) await waitFor(clock, STOP_CHECK_INTERVAL_MS);
-  ingress.refuseNew(stopAt - MIN_ANSWER_MS);
+  requests.beginStop(stopAt);
+  while (clock.now() < closeAt) await waitOnce();
+  ingress.refuseNew(lateAt);
   do {
     ingress.closeIdle();
-    await waitFor(clock, STOP_CHECK_INTERVAL_MS);
+    await waitOnce();
   } while (requests.countOpen() + ingress.countOpen() > 0 && clock.now() < stopAt);
 }
 
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -110,6 +110,10 @@
   agentEvents: Placement['agentEvents'];
   countOpen: () => number;
   dump: () => unknown;
+  /** The process stops at a time; requests that probably end later are not sent any more. */
+  beginStop: (stopAt: number) => void;
+  /** Refuses new requests and those that no server has got, and sends nothing more. */
+  refuseUnsent: () => void;
   /** Ends all open requests and refuses new ones. */
   stopOpen: () => void;
   stop: () => void;
@@ -121,7 +125,10 @@
   const { crashWatch } = options;
   const openRequests = new Map<string, RequestState>();
   let nextNumber = 1;
+  /** Nothing more is accepted or sent. */
   let isStopped = false;
+  /** Time at which the process stops. */
+  let stopAt = Infinity;
   const retryAdvisor = createRetryAdvisor(drawRandom);
   const callerRetryDetector = createRetryDetector();
   const requestLog = createRequestLog(clock, options.log);
@@ -281,12 +288,19 @@
     return { kind: ErrorKind.RateLimited, retryAfterMs: drawRetryMs(state, waitMs) };
   }
 
+  /** Returns whether a request must not be sent, since the process would stop before its answer. */
+  function isTooLate({ sentCount }: RequestState, finishMs: number): boolean {
+    return isStopped || (sentCount === 0 && clock.now() + finishMs > stopAt);
+  }
+
   function sendToServer(state: RequestState, entry: ServerEntry, finishMs: number): void {
     retryAdvisor.recordSent();
-    const accessFailure = checkAccessAgain(options.getView(), state, options.areKeysFresh);
-    if (accessFailure) {
+    const refusal = isTooLate(state, finishMs)
+      ? STOPPED
+      : checkAccessAgain(options.getView(), state, options.areKeysFresh);
+    if (refusal) {
       permits.release(entry.server.id, state.id);
-      finishPlacing(state, accessFailure);
+      finishPlacing(state, refusal);
       return;
     }
     if (guard.refuseBlocked(state)) {
@@ -309,7 +323,7 @@
 
   function tryTakeRepeat(state: RequestState): boolean {
     const now = clock.now();
-    if (!isRepeatAllowed(now, state) || !guard.isRepeatSafe(state)) return false;
+    if (isStopped || !isRepeatAllowed(now, state) || !guard.isRepeatSafe(state)) return false;
     if (state.repeatTakenAt !== undefined) return true;
     if (!repeatBudget.tryTake(now, state.service, options.countInstances())) return false;
     state.repeatTakenAt = now;
@@ -443,6 +457,14 @@
         requestQueue.listServices().map((name) => [name, requestQueue.count(name)]),
       ),
     }),
+    beginStop(at) {
+      stopAt = at;
+    },
+    refuseUnsent() {
+      isStopped = true;
+      const unsent = [...openRequests.values()].filter(({ attempts }) => attempts.size === 0);
+      unserved.stop(unsent);
+    },
     stopOpen() {
       isStopped = true;
       unserved.stop([...openRequests.values()]);
