Tiny chunks of an answer without end filled the memory of the entry

Cause: the HTTP library passes on each chunk as a view of all that was read with it. An answer is held up to 256 KiB, which counted the bytes of the chunks and not the memory that the views kept.

Pieces of a body that arrive together are joined to one buffer of their size.

--- a/packages/gateway/src/backend-client.ts
+++ b/packages/gateway/src/backend-client.ts
@@ -8,6 +8,7 @@
 import type { BackendServer } from '@masticbend/settings/routing';
 import { Framing, readFraming } from './answer-framing.js';
 import { createAnswerInput, type AnswerInput } from './answer-input.js';
+import { createJoinedPieces } from './joined-pieces.js';
 
 /** Timeout of a connection attempt: many round trips between data centres. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -169,6 +170,9 @@
   let controller: Dispatcher.DispatchController | undefined;
   let ended = false;
   let paused = false;
+  const pieces = createJoinedPieces((bytes) => {
+    if (!ended) events.onData(bytes);
+  });
 
   const options: TrackedDispatchOptions = { ...request };
   pool.dispatch(options, {
@@ -189,14 +193,16 @@
     },
     onResponseData(_started, bytes) {
       options.connectionState?.input?.recordBody(bytes.length);
-      if (!ended) events.onData(bytes);
+      pieces.add(bytes);
     },
     onResponseEnd() {
+      pieces.flush();
       if (ended) return;
       ended = true;
       events.onEnd();
     },
     onResponseError(_started, error) {
+      pieces.flush();
       if (ended) return;
       ended = true;
       events.onError(error);
@@ -207,6 +213,7 @@
     abort() {
       if (ended) return;
       ended = true;
+      pieces.drop();
       controller?.abort(new Error('aborted'));
     },
     pause() {
--- a/packages/gateway/test/endless-bytes.test.ts
+++ b/packages/gateway/test/endless-bytes.test.ts
@@ -14,6 +14,7 @@
   type Arrival,
   type Script,
 } from './backend.js';
+import { writeEndlessly, writeSlowly } from './endless-bytes.js';
 import { startDeployment, waitFor, waitUntil, type Deployment, type Reply } from './harness.js';
 
 /** Time limit of the callers, and the time after it by which they must be answered. */
@@ -24,26 +25,6 @@
 /** Bytes that a server gets rid of: those of the largest answer, and in the buffers on the way. */
 const MAX_TAKEN_BYTES = 32 * 1024 * 1024;
 const PIECE = Buffer.alloc(64 * 1024, 'a');
-const SLOW_INTERVAL_MS = 5;
-const DRAIN_CHECK_MS = 1;
-
-/** Writes pieces until the socket closes, as fast as it takes them. */
-function writeEndlessly(socket: Socket, piece: string | Buffer): void {
-  let isOpen = true;
-  socket.on('close', () => {
-    isOpen = false;
-  });
-  const write = () => {
-    while (isOpen && socket.writable && socket.write(piece));
-    if (isOpen) setTimeout(write, DRAIN_CHECK_MS);
-  };
-  write();
-}
-
-function writeSlowly(socket: Socket, piece: string): void {
-  const timer = setInterval(() => socket.write(piece), SLOW_INTERVAL_MS);
-  socket.on('close', () => clearInterval(timer));
-}
 
 const PLAIN_HEAD = 'HTTP/1.1 200 OK\r\nX-Masticbend-Server-Stamp: stamp\r\n';
 const NUL_BYTES = Buffer.alloc(64 * 1024, 0);
--- a/packages/gateway/test/entry-process.ts
+++ b/packages/gateway/test/entry-process.ts
@@ -23,6 +23,8 @@
 /** The program is compiled at its start. */
 const START_TIMEOUT_MS = 15_000;
 const KIB = 1_024;
+/** As in `deploy/system.toml`. */
+const MEMORY_FLAGS = ['--max-old-space-size=96', '--max-semi-space-size=4'];
 
 /** A running entry and what it depends on. */
 export interface EntryProcess {
@@ -69,7 +71,7 @@
   writeFileSync(path, stringify({ ...settings, contracts }));
   const child = spawn(
     process.execPath,
-    ['--import=tsx', '--conditions=source', '--no-warnings', PROGRAM, path],
+    [...MEMORY_FLAGS, '--import=tsx', '--conditions=source', '--no-warnings', PROGRAM, path],
     { stdio: ['ignore', 'pipe', 'pipe'] },
   );
   const chunks: string[] = [];
