--- a/packages/gateway/src/answer-input.ts
+++ b/packages/gateway/src/answer-input.ts
@@ -11,8 +11,8 @@
 /** Bytes beside the body that an answer may bring: several times the largest head. */
 const MAX_FRAMING_BYTES = 64 * 1024;
 /**
- * Framing that each byte of a body allows for. A chunk for each event of a stream has less than one;
- * chunks of one byte have five, and each costs as much time as a large one.
+ * Framing that each byte of a body allows for. A chunk for each event of a stream has less than
+ * one; chunks of one byte have five, and each costs as much time as a large one.
  */
 const FRAMING_PER_BODY_BYTE = 2;
 
--- a/packages/gateway/src/joined-pieces.ts
+++ b/packages/gateway/src/joined-pieces.ts
@@ -20,7 +20,7 @@
 export function createJoinedPieces(onBytes: (bytes: Buffer) => void): JoinedPieces {
   let pieces: Buffer[] = [];
 
-  function flush(): void {
+  function pushPieces(): void {
     if (pieces.length === 0) return;
     const [first] = pieces as [Buffer];
     const isCompact =
@@ -33,9 +33,9 @@
   return {
     add(piece) {
       pieces.push(piece);
-      if (pieces.length === 1) queueMicrotask(flush);
+      if (pieces.length === 1) queueMicrotask(pushPieces);
     },
-    flush,
+    flush: pushPieces,
     drop() {
       pieces = [];
     },
--- a/packages/gateway/test/endless-answers.test.ts
+++ b/packages/gateway/test/endless-answers.test.ts
@@ -151,7 +151,7 @@
   const hasEnded = () => entry.hasEnded();
 
   /**
-   * Calls another service meanwhile; returns the statuses. A busy entry may refuse some of the calls
+   * Calls another service meanwhile; returns the statuses. A busy entry may refuse some calls
    * as not run.
    */
   async function callSound(durationMs: number): Promise<number[]> {
