Data of an answer that cannot be handled fails its exchange alone

The joined pieces of a body are passed on outside of the calls of the HTTP library, which had caught what throws there; the process would have ended with it. Such an error aborts the exchange and reports it as failed, as the library did.

--- a/packages/gateway/src/backend-client.ts
+++ b/packages/gateway/src/backend-client.ts
@@ -171,9 +171,22 @@
   let ended = false;
   let paused = false;
   const pieces = createJoinedPieces((bytes) => {
-    if (!ended) events.onData(bytes);
+    if (ended) return;
+    try {
+      events.onData(bytes);
+    } catch (error) {
+      // Outside of the library's calls, the process would end with it.
+      failExchange(error as Error);
+    }
   });
 
+  function failExchange(error: Error): void {
+    if (ended) return;
+    ended = true;
+    controller?.abort(error);
+    events.onError(error);
+  }
+
   const options: TrackedDispatchOptions = { ...request };
   pool.dispatch(options, {
     onRequestStart(started) {
--- a/packages/gateway/test/endless-answers.test.ts
+++ b/packages/gateway/test/endless-answers.test.ts
@@ -7,7 +7,7 @@
 import { expect } from 'chai';
 import { parseAddress } from '@masticbend/settings/address';
 import { formatAnswer, formatChunk, formatEvent, type Arrival } from './backend.js';
-import { startEntryProcess, type EntryProcess } from './entry-process.js';
+import { registerManyAddresses, startEntryProcess, type EntryProcess } from './entry-process.js';
 import { createDocument, createRegistration, HOST, waitFor, waitUntil } from './harness.js';
 import { dialEntry, formatRequest, listStatuses, type RawCaller } from './raw-caller.js';
 import { writeEndlessly, writeSlowly } from './endless-bytes.js';
@@ -126,16 +126,10 @@
         services: [...services, { name: 'sound' }],
       },
     });
-    // Each failure ejects a server, so that the requests need many others.
     const { port } = parseAddress(entry.backends[0]!.address);
-    entry.store.remove('servers', 'i-0');
-    for (let number = 1; number <= SERVERS; number += 1) {
-      const address = `127.0.${Math.floor(number / 250) + 1}.${(number % 250) + 1}:${port}`;
-      entry.store.put('servers', `s-${number}`, createRegistration(address));
-    }
     const registration = createRegistration(`127.0.0.1:${port}`, { service: 'sound', slots: 100 });
     entry.store.put('servers', 'sound', registration);
-    await waitFor(OBSERVED_MS);
+    await registerManyAddresses(entry, SERVERS);
     startBytes = entry.readPeakMemory();
   });
 
--- a/packages/gateway/test/entry-process.ts
+++ b/packages/gateway/test/entry-process.ts
@@ -8,6 +8,7 @@
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { startStoreStandIn, type StoreStandIn } from '@masticbend/platform/store-standin';
+import { parseAddress } from '@masticbend/settings/address';
 import { stringify } from 'smol-toml';
 import type { GatewaySettings } from '../src/settings.js';
 import { startBackend, type Script, type ScriptedBackend } from './backend.js';
@@ -15,6 +16,7 @@
   createDocument,
   createRegistration,
   createSettings,
+  waitFor,
   waitUntil,
   waitUntilServing,
 } from './harness.js';
@@ -23,6 +25,8 @@
 /** The program is compiled at its start. */
 const START_TIMEOUT_MS = 15_000;
 const KIB = 1_024;
+/** Time in which an entry reads changed registrations. */
+const READ_MS = 1_500;
 /** As in `deploy/system.toml`. */
 const MEMORY_FLAGS = ['--max-old-space-size=96', '--max-semi-space-size=4'];
 
@@ -119,6 +123,24 @@
   return entry;
 }
 
+/**
+ * Registers the first backend server at many addresses in place of its own, and waits until they
+ * are read: each failure ejects a server, so that a test with many of them needs others. The server
+ * must listen on all addresses.
+ */
+export async function registerManyAddresses(
+  { store, backends }: EntryProcess,
+  count: number,
+): Promise<void> {
+  const { port } = parseAddress(backends[0]!.address);
+  store.remove('servers', 'i-0');
+  for (let number = 1; number <= count; number += 1) {
+    const address = `127.0.${Math.floor(number / 250) + 1}.${(number % 250) + 1}:${port}`;
+    store.put('servers', `s-${number}`, createRegistration(address));
+  }
+  await waitFor(READ_MS);
+}
+
 /** Reads the peak of the resident memory of a process from `/proc`. */
 function readPeakMemory(pid: number): number {
   const [, kibibytes] =
--- a/packages/gateway/test/interrupted-streams.test.ts
+++ b/packages/gateway/test/interrupted-streams.test.ts
@@ -5,10 +5,9 @@
  */
 import { expect } from 'chai';
 import fc from 'fast-check';
-import { parseAddress } from '@masticbend/settings/address';
 import { formatChunk, formatEvent, formatStreamHead, LAST_CHUNK, type Arrival } from './backend.js';
-import { startEntryProcess, type EntryProcess } from './entry-process.js';
-import { createRegistration, waitFor, waitUntil } from './harness.js';
+import { registerManyAddresses, startEntryProcess, type EntryProcess } from './entry-process.js';
+import { waitFor, waitUntil } from './harness.js';
 import { dialEntry, formatRequest, type RawCaller } from './raw-caller.js';
 
 const STAMP = 'X-Masticbend-Server-Stamp: stamp';
@@ -22,8 +21,6 @@
 const STATUSES = [200, 204, 206, 302, 400, 404, 421, 429, 500, 502, 503, 504];
 const ANSWER_MS = 4_000;
 const SERVERS = 800;
-/** Time in which an entry reads changed registrations. */
-const READ_MS = 1_500;
 
 const Framing = {
   Length: 'length',
@@ -96,14 +93,7 @@
   before(async () => {
     const bounds = { repeatSlack: 100_000 };
     entry = await startEntryProcess([answer], { bounds, host: '0.0.0.0' });
-    entry.store.remove('servers', 'i-0');
-    // Each loss ejects a server, so that each request needs two others.
-    const { port } = parseAddress(entry.backends[0]!.address);
-    for (let number = 1; number <= SERVERS; number += 1) {
-      const address = `127.0.${Math.floor(number / 250) + 1}.${(number % 250) + 1}:${port}`;
-      entry.store.put('servers', `s-${number}`, createRegistration(address));
-    }
-    await waitFor(READ_MS);
+    await registerManyAddresses(entry, SERVERS);
   });
 
   after(() => entry.close());
