Clients that don't behave: what callers make an entry hold is counted at its cost, before it is parsed

Callers saw connections reset and refused: an entry ended with a full heap (SIGABRT) or took more memory than its machine has (490 MB of 178), by bodies in chunks stopping short of their end, by one body in chunks of one byte, and by requests sent ahead whose answers nobody read.

Cause: connections were measured by the bytes of bodies and answers alone, after these were taken. A chunk of one byte cost a buffer that kept its whole read, a request without a body cost nothing, and the parser made thousands of requests of one read before anything was asked. Without the contract 'pressure' nothing bounded the sum at all. Descriptors were left to whoever came first.

Change: the input of a connection is passed to the parser in slices of 1 KiB (4 KiB in a body, 8 KiB a turn of the event loop). Before each, the connection is measured with its own memory, its requests, heads, body blocks, waiting input and answers. At the bound of the process, or at 60 % of its descriptors, the connections that hold most without moving are dropped; requests that did not run are refused with 503. Pieces of bodies are joined into blocks. The bound follows from the new settings limits.memoryMb and limits.descriptors; memory of dropped connections is collected at once.

--- a/packages/gateway/src/administration.ts
+++ b/packages/gateway/src/administration.ts
@@ -49,7 +49,11 @@
       metrics.registerGauge(Metric.AcceptWait, () =>
         Math.round(kernel.find('ingress').getAcceptWaitMs()),
       );
-      metrics.registerGauge(Metric.HeldBytes, kernel.find('ingress').countHeldBytes);
+      metrics.registerGauge(Metric.HeldBytes, kernel.find('connections').countBytes);
+      metrics.registerGauge(
+        Metric.AcceptedConnections,
+        kernel.find('connections').countConnections,
+      );
       metrics.registerGauge(Metric.ConfigurationRevision, () =>
         Number(view.getView()?.configuration.version ?? 0),
       );
--- a/packages/gateway/src/caller-connection.ts
+++ b/packages/gateway/src/caller-connection.ts
@@ -5,15 +5,21 @@
  */
 import { STATUS_CODES, type IncomingMessage, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { createBodyBlocks, type BodyBlocks } from '@masticbend/kernel/body-blocks';
 import { abortAnswer } from '@masticbend/kernel/broken-answer';
 import type { Clock } from '@masticbend/kernel/clock';
+import {
+  CONNECTION_BYTES,
+  FIELD_BYTES,
+  REQUEST_BYTES,
+  type BoundedConnection,
+  type HeldSample,
+} from '@masticbend/kernel/connection-bounds';
 import { runAfterReads } from '@masticbend/kernel/event-loop';
+import { closeLingering } from '@masticbend/kernel/lingering-close';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
+import { createMeteredInput } from '@masticbend/kernel/metered-input';
 import { REQUEST_ID_HEADER } from '@masticbend/platform/ingress';
-import type { HeldSample } from '@masticbend/scheduling/held-bytes';
-import type { BoundedConnection } from './bounded-readers.js';
-import { createCallerInput } from './caller-input.js';
-import { closeLingering } from './lingering-close.js';
 
 /** Time by which an idle connection stays open longer than its caller was told. */
 const KEEP_ALIVE_MARGIN_MS = 1_000;
@@ -30,8 +36,11 @@
 /** Code of the parser's error where the caller ends the connection within a request. */
 const END_WITHIN_REQUEST = 'HPE_INVALID_EOF_STATE';
 const CLOSE = 'close';
+/** Memory of a head that is being read, as a multiple of its bytes. */
+const UNFINISHED_HEAD_FACTOR = 4;
 
 const NOTHING_HELD: HeldSample = {
+  baseBytes: CONNECTION_BYTES,
   outputBytes: 0,
   dueBytes: 0,
   otherBytes: 0,
@@ -46,7 +55,11 @@
   response: ServerResponse;
   /** The whole answer was written to the connection. */
   isSent: boolean;
-  /** Bytes of its body that are held, and of an answer that is held back until it is complete. */
+  /** Memory of the request beside its body, in bytes. */
+  headBytes: number;
+  /** Its body while it is read. */
+  blocks: BodyBlocks;
+  /** Bytes of its body once it was read, and of an answer that is held back until complete. */
   bodyBytes: number;
   heldBackBytes: number;
   /** Time for which its connection waited to be accepted, in milliseconds. */
@@ -107,6 +120,10 @@
   log: Logger;
   /** Time for which the connection waited to be accepted, in milliseconds. */
   waitedMs: number;
+  /** Measures the connection; returns whether it may hold more. */
+  mayTake: () => boolean;
+  /** Returns whether no further request is to be read from the connection. */
+  isFull: () => boolean;
   /** Refuses a request whose body is being read, because the entry holds too many bytes. */
   refuseUnread: (request: IncomingMessage, response: ServerResponse) => void;
 }
@@ -132,7 +149,9 @@
   let isClosing = false;
   let hasCallerLeft = false;
   let isStopping = false;
-  const input = createCallerInput(socket);
+  const input = createMeteredInput(socket, { mayParse: isParsingAllowed, isWithinBody });
+  /** Parsed bytes up to which they belong to requests that were added. */
+  let requestsEnd = 0;
   /** Bytes of later requests that had not been read when the caller left. */
   let droppedBytes = 0;
 
@@ -155,10 +174,29 @@
     return [...open].at(-1);
   }
 
+  /** A request that is being read holds bytes until it is complete, so another must free some. */
+  function isParsingAllowed(): boolean {
+    const isAllowed = options.mayTake();
+    return isAllowed || open.size === 0 || (open.size === 1 && isWithinBody());
+  }
+
+  function isWithinBody(): boolean {
+    return findLast()?.request.complete === false;
+  }
+
+  /** Memory of a head of which the end was not read. */
+  function countUnfinishedHead(): number {
+    if (isWithinBody()) requestsEnd = input.countParsed();
+    return (input.countParsed() - requestsEnd) * UNFINISHED_HEAD_FACTOR;
+  }
+
   function finishRequest(each: OpenRequest): void {
     open.delete(each);
     reportCut(each);
-    if (open.size > 0) return;
+    if (open.size > 0) {
+      if (!options.isFull()) input.setBlocked(false);
+      return;
+    }
     // Nothing else on this connection could free what is held for it.
     input.setBlocked(false);
     if (rejection !== undefined) sendRejection(rejection);
@@ -203,18 +241,19 @@
   /** The answer whose turn it is counts the bytes that wait in the socket as its own. */
   function measure(): HeldSample {
     let outputBytes = socket.writableLength;
-    let otherBytes = input.countHeld();
-    for (const { response, bodyBytes, heldBackBytes } of open) {
+    let otherBytes = input.countMemory() + countUnfinishedHead();
+    for (const { response, headBytes, blocks, bodyBytes, heldBackBytes } of open) {
       outputBytes += response.writableLength - (response.socket ? socket.writableLength : 0);
-      otherBytes += bodyBytes + heldBackBytes;
+      otherBytes += headBytes + blocks.countMemory() + bodyBytes + heldBackBytes;
     }
     // Most connections hold nothing, and are measured often.
-    if (outputBytes + otherBytes === 0) return NOTHING_HELD;
     const takenBytes = countTaken(socket);
-    const isRefusable = [...open].every(({ ends }) => ends?.wasSent() !== true);
     const movedBytes = takenBytes + socket.bytesRead;
+    if (outputBytes + otherBytes === 0) return { ...NOTHING_HELD, movedBytes, takenBytes };
+    const isRefusable = [...open].every(({ ends }) => ends?.wasSent() !== true);
     const dueBytes = socket.writableLength;
-    return { outputBytes, dueBytes, otherBytes, movedBytes, takenBytes, isRefusable };
+    const baseBytes = CONNECTION_BYTES;
+    return { baseBytes, outputBytes, dueBytes, otherBytes, movedBytes, takenBytes, isRefusable };
   }
 
   function abort(): void {
@@ -265,18 +304,24 @@
   return {
     add(request, response, keepAliveMs) {
       const last = findLast()?.response;
-      if (isRejected || isClosing || (last?.headersSent && isClose(last))) return undefined;
+      if (isRejected || isClosing || (last?.headersSent && isClose(last))) {
+        droppedBytes += input.drop();
+        return undefined;
+      }
       if (last && removeClose(last)) response.setHeader('connection', CLOSE);
       const added: OpenRequest = {
         request,
         response,
         isSent: false,
+        headBytes: REQUEST_BYTES + request.rawHeaders.length * FIELD_BYTES,
+        blocks: createBodyBlocks(),
         bodyBytes: 0,
         heldBackBytes: 0,
         waitedMs,
         isAccepted: false,
       };
       open.add(added);
+      requestsEnd = input.countParsed();
       response.once('finish', () => {
         // The event also occurs when the connection is destroyed with bytes that were not written.
         added.isSent = !socket.destroyed;
@@ -289,17 +334,18 @@
     openedAt: clock.now(),
     measure,
     setBlocked(isBlocked) {
-      // A request that is being read holds bytes until it is complete, so another must free some.
-      const isReading = findLast()?.request.complete === false;
-      input.setBlocked(isBlocked && (!isReading || open.size > 1));
+      input.setBlocked(isBlocked && (!isWithinBody() || open.size > 1));
     },
     drop() {
       const { outputBytes } = measure();
-      for (const { request, response, ends } of [...open]) {
+      const isIdle = open.size === 0;
+      for (const { request, response, blocks, ends } of [...open]) {
+        blocks.drop();
         if (ends) ends.refuseUnsent();
         else if (!request.complete) options.refuseUnread(request, response);
       }
-      if (outputBytes > 0 || [...open].some(({ response }) => !response.writableEnded)) abort();
+      const isUnanswered = [...open].some(({ response }) => !response.writableEnded);
+      if (isIdle || outputBytes > 0 || isUnanswered) abort();
     },
     refuse,
     refuseTunnel() {
--- a/packages/gateway/src/excess-connections.ts
+++ b/packages/gateway/src/excess-connections.ts
@@ -5,8 +5,9 @@
  */
 import type { Socket } from 'node:net';
 import type { Clock } from '@masticbend/kernel/clock';
+import { addPlainConnection, type ConnectionBounds } from '@masticbend/kernel/connection-bounds';
+import { closeLingering } from '@masticbend/kernel/lingering-close';
 import { formatRetryAfter, RETRY_AFTER_HEADER } from '@masticbend/platform/ingress';
-import { closeLingering } from './lingering-close.js';
 
 /**
  * Callers return after a random part of this time, so that those refused together do not return
@@ -14,8 +15,19 @@
  */
 const MAX_RETRY_AFTER_MS = 300;
 
+/** Dependencies of a refusal. */
+export interface RefusalOptions {
+  clock: Clock;
+  bounds: ConnectionBounds;
+  drawRandom: () => number;
+}
+
 /** Answers whatever comes on a connection as not run, and closes it. */
-export function refuseConnection(clock: Clock, socket: Socket, drawRandom: () => number): void {
+export function refuseConnection(
+  { clock, bounds, drawRandom }: RefusalOptions,
+  socket: Socket,
+): void {
+  addPlainConnection(clock, bounds, socket);
   const retryAfter = formatRetryAfter(drawRandom() * MAX_RETRY_AFTER_MS);
   // A caller that has left resets the connection.
   socket.on('error', () => undefined);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,7 +25,6 @@
 import { parseAddress } from '@masticbend/settings/address';
 import { createAdministration } from './administration.js';
 import { createBackendClient, type BackendClient } from './backend-client.js';
-import { DROPPING_BOUNDS, WAITING_BOUNDS } from './bounded-readers.js';
 import { createCrashWatch, type CrashWatch } from './crash-watch.js';
 import { createIngress, type Ingress } from './ingress.js';
 import { createMeasuredStore } from './measured-store.js';
@@ -39,6 +38,7 @@
   createVersionsService,
 } from './peer-services.js';
 import { createPermitClient, type PermitClient } from './permit-client.js';
+import { createEntryBounds } from './process-bounds.js';
 import { chooseRanking } from './ranking.js';
 import { createRelayedStore } from './relayed-store.js';
 import { createRequests, type Requests } from './requests.js';
@@ -99,6 +99,7 @@
   kernel.provide('clock', () => clock);
   kernel.provide('log', () => log);
   kernel.provide('metrics', () => createMetrics(clock));
+  kernel.provide('connections', () => createEntryBounds(clock, log, settings));
   kernel.provide('store', () => createStoreService(kernel, settings.storeAddress));
   kernel.provide('relay', () => createRelayService(kernel, settings));
   kernel.provide('versions', () => createVersionsService(kernel, settings));
@@ -330,10 +331,10 @@
 
 function createIngressService(
   kernel: Kernel<GatewayServices>,
-  { callerAddress, features }: GatewaySettings,
+  { callerAddress }: GatewaySettings,
 ): Ingress {
   return createIngress({
-    heldBounds: features.boundedReaders ? DROPPING_BOUNDS : WAITING_BOUNDS,
+    bounds: kernel.find('connections'),
     address: callerAddress,
     clock: kernel.find('clock'),
     log: kernel.find('log'),
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -6,14 +6,13 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { waitFor, type Clock } from '@masticbend/kernel/clock';
+import type { ConnectionBounds } from '@masticbend/kernel/connection-bounds';
 import { runAfterReads } from '@masticbend/kernel/event-loop';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import { readRequestMetadata } from '@masticbend/platform/ingress';
 import { ErrorKind, type Failure } from '@masticbend/protocol/error';
-import type { HeldBounds } from '@masticbend/scheduling/held-bytes';
 import { DEFAULT_CALLER_LIMITS, type CallerLimits } from '@masticbend/settings/routing';
 import { ConnectionKind, createAcceptMonitor } from './accept-monitor.js';
-import { createBoundedReaders } from './bounded-readers.js';
 import {
   createCallerConnection,
   readRequestId,
@@ -54,8 +53,8 @@
   drawRandom?: () => number;
   requests: Pick<Requests, 'accept'>;
   getLimits: () => CallerLimits | undefined;
-  /** Present where the bytes held for callers are bounded; what differs from the usual bounds. */
-  heldBounds?: Partial<HeldBounds>;
+  /** Bounds of all connections of the entry. */
+  bounds: ConnectionBounds;
 }
 
 /** HTTP server of an entry. */
@@ -78,30 +77,19 @@
   getAcceptWaitMs: () => number;
   /** Returns whether connections wait too long for their callers to be served. */
   isBehind: () => boolean;
-  /** Bytes held for callers; 0 where they are not bounded. */
-  countHeldBytes: () => number;
   /** Stops listening, refuses the requests still being read, and closes all connections. */
   stop: () => Promise<void>;
 }
 
 /** Returns a server that is not listening yet. */
 export function createIngress(options: IngressOptions): Ingress {
-  const { clock, log, requests, drawRandom = Math.random } = options;
+  const { clock, log, requests, bounds, drawRandom = Math.random } = options;
   let isStopping = false;
   let isRefusing = false;
   /** Time from which requests that have just been read are refused. */
   let refusesReadAt = Infinity;
   const connections = new Map<Socket, CallerConnection>();
   const monitor = createAcceptMonitor(options);
-  const readers =
-    options.heldBounds &&
-    createBoundedReaders({
-      clock,
-      log,
-      listConnections: () => connections.values(),
-      bounds: options.heldBounds,
-    });
-
   function getLimits(): CallerLimits {
     return options.getLimits() ?? DEFAULT_CALLER_LIMITS;
   }
@@ -112,8 +100,23 @@
 
   function acceptConnection(socket: Socket): void {
     const waitedMs = monitor.getWaitMs();
-    connections.set(socket, createCallerConnection({ clock, log, waitedMs, refuseUnread }, socket));
-    socket.once('close', () => connections.delete(socket));
+    const connection: CallerConnection = createCallerConnection(
+      {
+        clock,
+        log,
+        mayTake: () => bounds.mayTake(connection),
+        isFull: () => bounds.isFull(connection),
+        waitedMs,
+        refuseUnread,
+      },
+      socket,
+    );
+    connections.set(socket, connection);
+    socket.once('close', () => {
+      connections.delete(socket);
+      bounds.remove(connection);
+    });
+    bounds.add(connection);
   }
 
   function handleRequest(request: IncomingMessage, response: ServerResponse): void {
@@ -136,11 +139,6 @@
       return;
     }
     if (isContinueExpected(request)) response.writeContinue();
-    if (readers?.isFull(connection)) {
-      connection.setBlocked(true);
-      readers.recordAdded(0);
-    }
-    if (readers) request.on('data', (chunk: Buffer) => recordBody(open, chunk.length));
     readBody(open, getLimits().bodyBytes, (body) => {
       if (!body) {
         refuse(request, response, { kind: ErrorKind.BodyTooLarge });
@@ -192,25 +190,15 @@
     );
   }
 
-  function createBounds(
-    connection: CallerConnection,
-    open: OpenRequest,
-  ): DeliveryBounds | undefined {
-    return (
-      readers && {
-        recordWritten: readers.recordAdded,
-        recordHeldBack(bytes) {
-          readers.recordAdded(Math.max(0, bytes - open.heldBackBytes));
-          open.heldBackBytes = bytes;
-        },
-        isFull: () => readers.isFullOfAnswers(connection),
-      }
-    );
-  }
-
-  function recordBody(open: OpenRequest, bytes: number): void {
-    open.bodyBytes += bytes;
-    readers?.recordAdded(bytes);
+  function createBounds(connection: CallerConnection, open: OpenRequest): DeliveryBounds {
+    return {
+      recordWritten: bounds.recordAdded,
+      recordHeldBack(bytes) {
+        bounds.recordAdded(Math.max(0, bytes - open.heldBackBytes));
+        open.heldBackBytes = bytes;
+      },
+      isFull: () => bounds.isFullOfAnswers(connection),
+    };
   }
 
   function refuseUnread(request: IncomingMessage, response: ServerResponse): void {
@@ -249,7 +237,7 @@
   server.removeAllListeners('connection');
   server.on('connection', (socket: Socket) => {
     const kind = monitor.classifyConnection(socket);
-    if (kind === ConnectionKind.Excess) refuseConnection(clock, socket, drawRandom);
+    if (kind === ConnectionKind.Excess) refuseConnection({ clock, bounds, drawRandom }, socket);
     if (kind !== ConnectionKind.Caller) return;
     for (const listener of readConnection) listener.call(server, socket);
     acceptConnection(socket);
@@ -280,10 +268,8 @@
       [...connections.values()].reduce((sum, connection) => sum + connection.countOpen(), 0),
     getAcceptWaitMs: monitor.getWaitMs,
     isBehind: monitor.isBehind,
-    countHeldBytes: () => readers?.countBytes() ?? 0,
     async stop() {
       monitor.stop();
-      readers?.stop();
       isStopping = true;
       isRefusing = true;
       server.close();
--- a/packages/gateway/src/request-body.ts
+++ b/packages/gateway/src/request-body.ts
@@ -6,30 +6,32 @@
  * when the request is refused or the connection fails before its end.
  */
 export function readBody(
-  { request, response }: OpenRequest,
+  open: OpenRequest,
   maxBytes: number,
   onBody: (body: Buffer | undefined) => void,
 ): void {
-  let chunks: Buffer[] = [];
-  let bytes = 0;
+  const { request, response, blocks } = open;
   let isDone = false;
+
+  function finish(): void {
+    isDone = true;
+    blocks.drop();
+  }
+
   request.on('data', (chunk: Buffer) => {
-    if (response.writableEnded) {
-      isDone = true;
-      chunks = [];
-    }
+    if (response.writableEnded) finish();
     if (isDone) return;
-    bytes += chunk.length;
-    chunks.push(chunk);
-    if (bytes <= maxBytes) return;
-    isDone = true;
+    blocks.add(chunk);
+    if (blocks.countBytes() <= maxBytes) return;
+    finish();
     onBody(undefined);
   });
   request.on('end', () => {
-    if (!isDone && !response.writableEnded) onBody(Buffer.concat(chunks));
+    if (isDone || response.writableEnded) return;
+    const body = blocks.take();
+    open.bodyBytes = body.length;
+    onBody(body);
   });
   // The connection failed before the request was complete: there is no caller left to answer.
-  request.on('error', () => {
-    isDone = true;
-  });
+  request.on('error', finish);
 }
--- a/packages/gateway/src/services.ts
+++ b/packages/gateway/src/services.ts
@@ -1,5 +1,6 @@
 /** The services of an entry, by the names under which the kernel provides them. */
 import type { Clock } from '@masticbend/kernel/clock';
+import type { ConnectionBounds } from '@masticbend/kernel/connection-bounds';
 import type { Lifecycle } from '@masticbend/kernel/kernel';
 import type { Logger } from '@masticbend/kernel/log';
 import type { Metrics } from '@masticbend/kernel/metrics';
@@ -26,6 +27,7 @@
   clock: Clock;
   log: Logger;
   metrics: Metrics;
+  connections: ConnectionBounds & Lifecycle;
   store: EraStore & Lifecycle;
   client: BackendClient & Lifecycle;
   board: ServerPool & Lifecycle;
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -38,6 +38,13 @@
   rollbackMs: number;
 }
 
+/** What a process may use of its machine. */
+export interface LimitSettings {
+  /** Memory in MiB. */
+  memoryMb: number;
+  descriptors: number;
+}
+
 /** Settings of one process. Addresses are `IP:port`. */
 export interface GatewaySettings {
   instance: string;
@@ -54,6 +61,7 @@
   bounds: GatewayBounds;
   /** Present where the deployment has roll-outs. */
   rollout?: RolloutBounds;
+  limits?: Partial<LimitSettings>;
 }
 
 /** Settings of an agent. Addresses are `IP:port`. */
@@ -63,6 +71,7 @@
   metricsAddress: string;
   features: Features;
   logLevel: string;
+  limits?: Partial<LimitSettings>;
 }
 
 /** Settings, or one message for each fault. */
@@ -85,6 +94,8 @@
   typeof value === 'number' && value >= 0 ? undefined : 'expected a number from 0 up';
 const checkPositiveNumber: Check = (value) =>
   typeof value === 'number' && value > 0 ? undefined : 'expected a number above 0';
+const checkOptionalPositiveNumber: Check = (value) =>
+  value === undefined ? undefined : checkPositiveNumber(value);
 const checkOptionalBoolean: Check = (value) =>
   value === undefined || typeof value === 'boolean' ? undefined : 'expected true or false';
 const checkOptionalText: Check = (value) =>
@@ -122,6 +133,10 @@
   exposureSlack: checkNonNegativeNumber,
   rollbackMs: checkNonNegativeNumber,
 };
+const LIMIT_FIELDS: Readonly<Record<keyof LimitSettings, Check>> = {
+  memoryMb: checkOptionalPositiveNumber,
+  descriptors: checkOptionalPositiveNumber,
+};
 const BOUND_FIELDS: Readonly<Record<keyof GatewayBounds, Check>> = {
   graceS: checkNonNegativeNumber,
   keyFreshnessMs: checkNonNegativeNumber,
@@ -135,8 +150,9 @@
 
 /** Parses the settings of an entry. */
 export const parseGatewaySettings: ParseSettings<GatewaySettings> = (text) =>
-  parseDocument(text, ({ bounds = {}, rollout, ...top }) => [
+  parseDocument(text, ({ bounds = {}, rollout, limits = {}, ...top }) => [
     ...listFaults('', top, FIELDS),
+    ...listFaults('limits.', limits as Record<string, unknown>, LIMIT_FIELDS),
     ...listFaults('bounds.', bounds as Record<string, unknown>, BOUND_FIELDS),
     ...(rollout === undefined
       ? []
@@ -145,7 +161,10 @@
 
 /** Parses the settings of an agent. */
 export const parseAgentSettings: ParseSettings<AgentSettings> = (text) =>
-  parseDocument(text, (document) => listFaults('', document, AGENT_FIELDS));
+  parseDocument(text, ({ limits = {}, ...top }) => [
+    ...listFaults('', top, AGENT_FIELDS),
+    ...listFaults('limits.', limits as Record<string, unknown>, LIMIT_FIELDS),
+  ]);
 
 /** Reads a settings file; throws an error that lists every fault. */
 export function readSettings<Settings>(
--- a/packages/gateway/test/entry-process.ts
+++ b/packages/gateway/test/entry-process.ts
@@ -22,13 +22,15 @@
 } from './harness.js';
 
 const PROGRAM = fileURLToPath(new URL('../src/main.ts', import.meta.url));
+const TARGET = fileURLToPath(new URL('../../../target/', import.meta.url));
 /** The program is compiled at its start. */
 const START_TIMEOUT_MS = 15_000;
 const KIB = 1_024;
 /** Time in which an entry reads changed registrations. */
 const READ_MS = 1_500;
 /** As in `deploy/system.toml`. */
-const MEMORY_FLAGS = ['--max-old-space-size=96', '--max-semi-space-size=4'];
+const HEAP_MB = 96;
+const MEMORY_FLAGS = ['--max-semi-space-size=4', '--expose-gc'];
 
 /** A running entry and what it depends on. */
 export interface EntryProcess {
@@ -55,13 +57,29 @@
   contracts?: string;
   /** Address on which the backend servers listen. */
   host?: string;
+  /** File in `target/` that runs in place of the sources. */
+  bundle?: string;
+  /** Bound of the heap in MiB; that of the deployed program by default. */
+  heapMb?: number;
+  /** Descriptors that the process may open; the limit of the system by default. */
+  descriptors?: number;
 }
 
 /** Starts an entry in front of backend servers; resolves once it is ready. */
 export async function startEntryProcess(
   scripts: Script[],
-  { bounds, configuration, registration, contracts = '', host }: EntryProcessOptions = {},
+  options: EntryProcessOptions = {},
 ): Promise<EntryProcess> {
+  const {
+    bounds,
+    configuration,
+    registration,
+    contracts = '',
+    host,
+    bundle,
+    heapMb = HEAP_MB,
+    descriptors,
+  } = options;
   const store = await startStoreStandIn();
   const backends = await Promise.all(scripts.map((script) => startBackend(script, host)));
   store.put('op', 'config', createDocument(configuration));
@@ -73,11 +91,9 @@
   const folder = mkdtempSync(join(tmpdir(), 'masticbend-entry-'));
   const path = join(folder, 'entry.toml');
   writeFileSync(path, stringify({ ...settings, contracts }));
-  const child = spawn(
-    process.execPath,
-    [...MEMORY_FLAGS, '--import=tsx', '--conditions=source', '--no-warnings', PROGRAM, path],
-    { stdio: ['ignore', 'pipe', 'pipe'] },
-  );
+  const flags = [`--max-old-space-size=${heapMb}`, ...MEMORY_FLAGS];
+  const args = [...flags, ...listProgramArguments(bundle), path];
+  const child = startLimited(args, descriptors);
   const chunks: string[] = [];
   let ended = false;
   const keepOutput = (chunk: Buffer) => chunks.push(chunk.toString());
@@ -123,6 +139,21 @@
   return entry;
 }
 
+/** Starts node with an upper limit of its descriptors, if one is given. */
+export function startLimited(args: string[], descriptors?: number) {
+  const command = [process.execPath, ...args];
+  if (descriptors !== undefined) {
+    command.unshift('sh', '-c', `ulimit -n ${descriptors} && exec "$0" "$@"`);
+  }
+  const [file, ...rest] = command as [string, ...string[]];
+  return spawn(file, rest, { stdio: ['ignore', 'pipe', 'pipe'] });
+}
+
+function listProgramArguments(bundle: string | undefined): string[] {
+  if (bundle !== undefined) return [`${TARGET}${bundle}`];
+  return ['--import=tsx', '--conditions=source', '--no-warnings', PROGRAM];
+}
+
 /**
  * Registers the first backend server at many addresses in place of its own, and waits until they
  * are read: each failure ejects a server, so that a test with many of them needs others. The server
@@ -142,7 +173,7 @@
 }
 
 /** Reads the peak of the resident memory of a process from `/proc`. */
-function readPeakMemory(pid: number): number {
+export function readPeakMemory(pid: number): number {
   const [, kibibytes] =
     /^VmHWM:\s+(\d+) kB$/m.exec(readFileSync(`/proc/${pid}/status`, 'utf8')) ?? [];
   return Number(kibibytes) * KIB;
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -1,10 +1,14 @@
 /** One entry with a store stand-in and scripted backend servers, all on loopback. */
 import { request as send } from 'undici';
+import type { Clock } from '@masticbend/kernel/clock';
+import type { ConnectionBounds } from '@masticbend/kernel/connection-bounds';
 import type { LineSink } from '@masticbend/kernel/line-sink';
 import { startStoreStandIn, type StoreStandIn } from '@masticbend/platform/store-standin';
 import { reservePorts } from '@masticbend/standins/ports';
+import { createSilentLogger } from '@masticbend/kernel/log';
 import { readFeatures } from '@masticbend/platform/features';
 import { createGateway, type Gateway } from '../src/gateway.js';
+import { createEntryBounds } from '../src/process-bounds.js';
 import type { GatewaySettings } from '../src/settings.js';
 import { startBackend, type Script, type ScriptedBackend } from './backend.js';
 
@@ -303,3 +307,8 @@
     },
   };
 }
+
+/** Returns the bounds of an entry with the default settings. */
+export function createDefaultBounds(clock: Clock): ConnectionBounds {
+  return createEntryBounds(clock, createSilentLogger(), { features: readFeatures('') });
+}
--- a/packages/gateway/test/ingress.test.ts
+++ b/packages/gateway/test/ingress.test.ts
@@ -8,7 +8,7 @@
 import { reservePorts } from '@masticbend/standins/ports';
 import type { Delivery } from '../src/delivery.js';
 import { createIngress, type Ingress } from '../src/ingress.js';
-import { waitFor, waitUntil } from './harness.js';
+import { createDefaultBounds, waitFor, waitUntil } from './harness.js';
 import { dialEntry, formatRequest, listStatuses } from './raw-caller.js';
 
 /** Larger than the buffers of both sides of a connection, so that a part stays in the entry. */
@@ -31,9 +31,11 @@
     const address = `127.0.0.1:${port}`;
     lines = [];
     const writeLine = (event: string, fields: LogFields = {}) => lines.push({ event, ...fields });
+    const clock = createSystemClock();
     ingress = createIngress({
       address,
-      clock: createSystemClock(),
+      clock,
+      bounds: createDefaultBounds(clock),
       log: { ...createSilentLogger(), info: writeLine, warn: writeLine },
       requests: {
         accept(_incoming, wrap) {
--- a/packages/gateway/test/late-reads.test.ts
+++ b/packages/gateway/test/late-reads.test.ts
@@ -8,7 +8,13 @@
 import { reservePorts } from '@masticbend/standins/ports';
 import { formatAnswer } from './backend.js';
 import { createIngress, type Ingress } from '../src/ingress.js';
-import { startDeployment, waitFor, waitUntil, type Deployment } from './harness.js';
+import {
+  createDefaultBounds,
+  startDeployment,
+  waitFor,
+  waitUntil,
+  type Deployment,
+} from './harness.js';
 import { dialEntry, formatRequest, listStatuses, type RawCaller } from './raw-caller.js';
 
 /** Time for which a process handles no event. */
@@ -171,6 +177,7 @@
     ingress = createIngress({
       address,
       clock,
+      bounds: createDefaultBounds(clock),
       log: {
         ...createSilentLogger(),
         info: (event) => events.push(event),
--- a/packages/gateway/test/slow-readers.test.ts
+++ b/packages/gateway/test/slow-readers.test.ts
@@ -1,10 +1,15 @@
 /** Callers that read slowly or not at all: what is held for them is bounded, and others served. */
 import { expect } from 'chai';
 import { createSystemClock } from '@masticbend/kernel/clock';
-import { createSilentLogger, type LogFields } from '@masticbend/kernel/log';
+import { createSilentLogger, type LogFields, type Logger } from '@masticbend/kernel/log';
 import { reservePorts } from '@masticbend/standins/ports';
 import { ErrorKind } from '@masticbend/protocol/error';
-import type { HeldBounds } from '@masticbend/scheduling/held-bytes';
+import {
+  createConnectionBounds,
+  type BoundedConnection,
+  type ConnectionBounds,
+} from '@masticbend/kernel/connection-bounds';
+import { createHeldBytes, type HeldBounds } from '@masticbend/scheduling/held-bytes';
 import { DEFAULT_CALLER_LIMITS } from '@masticbend/settings/routing';
 import type { Delivery } from '../src/delivery.js';
 import { createIngress, type Ingress } from '../src/ingress.js';
@@ -15,6 +20,12 @@
 /** More than the buffers of the system take on both sides of a connection. */
 const ANSWER = Buffer.alloc(12 * MIB, 'x');
 const WRITE_MS = 400;
+const BOUNDS: HeldBounds = {
+  connectionBytes: 512 * 1024,
+  maxConnectionBytes: 16 * MIB,
+  processBytes: 64 * MIB,
+  writeMs: 5_000,
+};
 /** Bytes and interval of a reader that is slow and not idle. */
 const SLOW_BYTES = 256 * 1024;
 const SLOW_INTERVAL_MS = 20;
@@ -31,6 +42,7 @@
 
 describe('callers that read slowly', () => {
   let ingress: Ingress;
+  let bounds: ConnectionBounds;
   let cuts: LogFields[];
   let address: string;
   let callers: RawCaller[];
@@ -43,15 +55,20 @@
     address = `127.0.0.1:${port}`;
     cuts = [];
     callers = [];
+    const clock = createSystemClock();
+    const log: Logger = {
+      ...createSilentLogger(),
+      warn(event, fields = {}) {
+        if (event === 'connection-cut') cuts.push(fields);
+      },
+    };
+    const held = createHeldBytes<BoundedConnection>({ ...BOUNDS, ...heldBounds });
+    bounds = createConnectionBounds({ clock, log, held });
     ingress = createIngress({
       address,
-      clock: createSystemClock(),
-      log: {
-        ...createSilentLogger(),
-        warn(event, fields = {}) {
-          if (event === 'connection-cut') cuts.push(fields);
-        },
-      },
+      clock,
+      log,
+      bounds,
       requests: {
         accept(_incoming, wrap) {
           const delivery = wrap({
@@ -63,7 +80,6 @@
         },
       },
       getLimits: () => DEFAULT_CALLER_LIMITS,
-      heldBounds,
     });
     await ingress.start();
   }
@@ -104,7 +120,7 @@
     const quick = [send(), send()];
     await waitUntil(() => quick.every(({ text }) => text.length > ANSWER.length));
     expect(cuts.map(({ reason }) => reason)).to.deep.equal(['process-bound']);
-    await waitUntil(() => ingress.countHeldBytes() === 0);
+    await waitUntil(() => bounds.countBytes() === 0);
   });
 
   // Whole bodies are held until their requests end, whoever is to blame for that.
@@ -113,7 +129,7 @@
     await start({ processBytes: 2 * MIB }, (delivery) => open.push(delivery));
     for (let count = 0; count < 3; count += 1) send(formatRequest({ body: 'x'.repeat(MIB) }));
     await waitUntil(() => callers.some((caller) => listStatuses(caller).length > 0));
-    await waitUntil(() => ingress.countHeldBytes() <= 2 * MIB);
+    await waitUntil(() => bounds.countBytes() <= 2 * MIB);
     expect(callers.flatMap(listStatuses).every((status) => status === 503)).to.equal(true);
     expect(callers.some((caller) => listStatuses(caller).length === 0)).to.equal(true);
   });
@@ -143,7 +159,7 @@
       write();
     });
     send().socket.pause();
-    await waitUntil(() => ingress.countHeldBytes() > 0);
-    expect(ingress.countHeldBytes()).to.be.within(MIB / 2, MIB + SLOW_BYTES);
+    await waitUntil(() => bounds.countBytes() > 0);
+    expect(bounds.countBytes()).to.be.within(MIB / 2, MIB + SLOW_BYTES);
   });
 });
--- a/packages/gateway/src/lingering-close.ts
+++ b/packages/kernel/src/lingering-close.ts
@@ -4,7 +4,7 @@
  * answer's direction is ended first, and what arrives for a while after it is discarded.
  */
 import type { Socket } from 'node:net';
-import type { Clock } from '@masticbend/kernel/clock';
+import type { Clock } from './clock.js';
 
 const LINGER_MS = 200;
 
--- a/packages/kernel/src/metrics.ts
+++ b/packages/kernel/src/metrics.ts
@@ -57,6 +57,7 @@
   AcceptWait: 'masticbend_accept_wait_ms',
   /** Bytes that an entry holds for the connections of its callers. */
   HeldBytes: 'masticbend_held_bytes',
+  AcceptedConnections: 'masticbend_accepted_connections',
   ConnectedAgents: 'masticbend_connected_agents',
   ConnectedEntries: 'masticbend_connected_entries',
   ConfigurationRevision: 'masticbend_configuration_revision',
--- a/packages/scheduling/test/held-bytes.test.ts
+++ b/packages/scheduling/test/held-bytes.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
-import { createHeldBytes, type HeldSample } from '../src/held-bytes.js';
+import type { HeldSample } from '@masticbend/kernel/connection-bounds';
+import { createHeldBytes } from '../src/held-bytes.js';
 
 const KIB = 1024;
 const BOUNDS = {
