The other addresses of a process were not bounded at all

Callers saw an entry end, or its connections to backend servers fail, while others sent requests ahead or merely opened connections at the readiness, metrics or administration address: the library's defaults bound neither connections nor requests, unread answers, heads or descriptors there.

Change: each HTTP server shares the bounds of its process. It parses one request of a connection at a time, refuses bodies where no request has one, and ends receipt of a request after 10 s. The product's own entry and agent have the same bounds at their callers' and administration addresses; bodies in small pieces are joined there too.

Evidence on: with a heap of 64 MB, 300 callers with requests sent ahead at the readiness address ('/') and at the metrics address ended the entry; 600 silent connections with 300 descriptors left none for backend servers.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -7,6 +7,8 @@
 import { Pool } from 'undici';
 import { startAdministration } from '@masticbend/kernel/administration';
 import { createSystemClock, type Clock } from '@masticbend/kernel/clock';
+import type { ConnectionBounds } from '@masticbend/kernel/connection-bounds';
+import { readDescriptorLimit } from '@masticbend/kernel/descriptor-limit';
 import {
   createKernel,
   waitUntilIdle,
@@ -25,6 +27,7 @@
 } from '@masticbend/state/configuration-replica';
 import { createIdempotencyRecords } from '@masticbend/state/idempotency';
 import { createTableClient, type TableClient } from '@masticbend/state/table';
+import { createDefaultBounds } from '@masticbend/scheduling/default-bounds';
 import { createAgentScheduler } from '@masticbend/scheduling/agent-scheduler';
 import { MAX_CONCURRENCY } from '@masticbend/settings/configuration';
 import { parseAddress } from '@masticbend/settings/address';
@@ -50,6 +53,7 @@
   clock: Clock;
   log: Logger;
   metrics: Metrics;
+  connections: ConnectionBounds & Lifecycle;
   configuration: ConfigurationReplica & Lifecycle;
   exchange: ConfigurationExchange & Lifecycle;
   quotas: QuotaService & Lifecycle;
@@ -73,6 +77,9 @@
   kernel.provide('clock', createSystemClock);
   kernel.provide('log', () => log);
   kernel.provide('metrics', () => createMetrics(kernel.find('clock')));
+  kernel.provide('connections', () =>
+    createDefaultBounds(kernel.find('clock'), log, readDescriptorLimit()),
+  );
   kernel.provide('configuration', () => createConfigurationReplica(log));
   kernel.provide('exchange', () => createExchangeService(kernel));
   kernel.provide('administration', () => createAdministrationService(kernel, settings));
@@ -183,7 +190,8 @@
     backendServer: settings.backendServer,
     secret,
   };
-  const mesh = createMeshServer(identity, kernel.find('clock'), kernel.find('log'), {
+  const bounds = kernel.find('connections');
+  const mesh = createMeshServer(identity, kernel.find('clock'), kernel.find('log'), bounds, {
     onOpen(owner, { revision, peers }) {
       exchange.addPeer(owner, revision);
       kernel.find('dispatcher').send({ kind: 'open', owner, peers });
@@ -229,6 +237,8 @@
         isReady,
         dump: () => kernel.dump(),
         renderMetrics: metrics.render,
+        clock: kernel.find('clock'),
+        bounds: kernel.find('connections'),
       });
       kernel.find('log').info(LogEvent.ProcessStarted, { backendServer: settings.backendServer });
     },
--- a/packages/entry/src/administration-body.ts
+++ b/packages/entry/src/administration-body.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from 'node:http';
 import { ErrorKind, type Failure } from '@masticbend/protocol/error';
 import { formatFault, type CheckResult } from '@masticbend/settings/schema-fault';
+import { readBody } from './read-body.js';
 
 const MAX_BODY_BYTES = 256 * 1024;
 
@@ -30,12 +31,6 @@
 }
 
 async function readText(request: IncomingMessage): Promise<string | undefined> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of request as AsyncIterable<Buffer>) {
-    bytes += chunk.length;
-    if (bytes > MAX_BODY_BYTES) return undefined;
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks).toString('utf8');
+  const body = await readBody(request, MAX_BODY_BYTES);
+  return body?.toString('utf8');
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -5,8 +5,11 @@
 import { readFileSync } from 'node:fs';
 import type { Server } from 'node:http';
 import type { App } from '@tinyhttp/app';
+import { applyServerBounds } from '@masticbend/kernel/bounded-server';
 import { startAdministration } from '@masticbend/kernel/administration';
 import { createSystemClock, type Clock } from '@masticbend/kernel/clock';
+import type { ConnectionBounds } from '@masticbend/kernel/connection-bounds';
+import { readDescriptorLimit } from '@masticbend/kernel/descriptor-limit';
 import { createKernel, type Kernel, type Lifecycle } from '@masticbend/kernel/kernel';
 import { createLogger, LogEvent, type Logger } from '@masticbend/kernel/log';
 import { createMetrics, Metric, type Metrics } from '@masticbend/kernel/metrics';
@@ -21,6 +24,7 @@
 import { createConfigurationStore } from '@masticbend/state/configuration-store';
 import { createObjectStore } from '@masticbend/state/object-store';
 import { createTableClient } from '@masticbend/state/table';
+import { createDefaultBounds } from '@masticbend/scheduling/default-bounds';
 import { createLengthEstimator, type LengthEstimator } from '@masticbend/scheduling/output-length';
 import { createRetryBudget, type RetryBudget } from '@masticbend/scheduling/retry-budget';
 import { createRouter, type Router } from '@masticbend/scheduling/router';
@@ -51,6 +55,7 @@
   clock: Clock;
   log: Logger;
   metrics: Metrics;
+  connections: ConnectionBounds & Lifecycle;
   lengths: LengthEstimator;
   retries: RetryBudget;
   configuration: ConfigurationReplica & Lifecycle;
@@ -75,6 +80,9 @@
   kernel.provide('clock', createSystemClock);
   kernel.provide('log', () => log);
   kernel.provide('metrics', () => createMetrics(kernel.find('clock')));
+  kernel.provide('connections', () =>
+    createDefaultBounds(kernel.find('clock'), log, readDescriptorLimit()),
+  );
   kernel.provide('lengths', createLengthEstimator);
   kernel.provide('retries', createRetryBudget);
   kernel.provide('configuration', () => createConfigurationReplica(log));
@@ -213,6 +221,8 @@
         isReady,
         dump: () => kernel.dump(),
         renderMetrics: metrics.render,
+        clock: kernel.find('clock'),
+        bounds: kernel.find('connections'),
         addRoutes,
       });
     },
@@ -239,6 +249,10 @@
     limits: kernel.find('limits'),
     isStopping: () => state.stopping,
   });
+  applyServerBounds(callers.server, {
+    clock: kernel.find('clock'),
+    bounds: kernel.find('connections'),
+  });
   const { lameDuckMs } = settings;
   const onStopping = () => {
     state.stopping = true;
--- a/packages/entry/src/read-body.ts
+++ b/packages/entry/src/read-body.ts
@@ -1,5 +1,6 @@
 /** Reads the body of a request up to a maximum size. */
 import type { IncomingMessage } from 'node:http';
+import { createBodyBlocks } from '@masticbend/kernel/body-blocks';
 
 /**
  * Resolves to the body, or to undefined once it exceeds `maxBytes`. Rejects if the connection
@@ -7,18 +8,14 @@
  */
 export function readBody(request: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
   return new Promise((resolve, reject) => {
-    let chunks: Buffer[] = [];
-    let bytes = 0;
+    const blocks = createBodyBlocks();
     request.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes <= maxBytes) {
-        chunks.push(chunk);
-      } else {
-        chunks = [];
-        resolve(undefined);
-      }
+      blocks.add(chunk);
+      if (blocks.countBytes() <= maxBytes) return;
+      blocks.drop();
+      resolve(undefined);
     });
-    request.on('end', () => resolve(Buffer.concat(chunks)));
+    request.on('end', () => resolve(blocks.take()));
     request.on('error', reject);
     request.on('close', () => reject(new Error('connection closed before the body was complete')));
   });
--- a/packages/gateway/src/administration.ts
+++ b/packages/gateway/src/administration.ts
@@ -1,5 +1,6 @@
 /** HTTP servers for readiness checks of the load balancer, and for metrics and the state dump. */
 import { createServer, type Server } from 'node:http';
+import { applyServerBounds } from '@masticbend/kernel/bounded-server';
 import type { Kernel, Lifecycle } from '@masticbend/kernel/kernel';
 import { LogEvent } from '@masticbend/kernel/log';
 import { Metric } from '@masticbend/kernel/metrics';
@@ -10,6 +11,9 @@
 import type { GatewayServices } from './services.js';
 import type { GatewaySettings } from './settings.js';
 
+/** Time limit for the receipt of a request for readiness, metrics or the state dump. */
+export const REQUEST_MS = 10_000;
+
 /** Returns the service; `state.stopping` is set when the process begins to stop. */
 export function createAdministration(
   kernel: Kernel<GatewayServices>,
@@ -75,6 +79,10 @@
         else response.end(metrics.render());
       });
       servers.push(readinessServer, operatorServer);
+      const bounds = kernel.find('connections');
+      for (const each of servers) {
+        applyServerBounds(each, { clock, bounds, refusesBodies: true, requestMs: REQUEST_MS });
+      }
       await startServer(readinessServer, settings.readinessAddress);
       await startServer(operatorServer, settings.metricsAddress);
     },
--- a/packages/gateway/test/crowds.test.ts
+++ b/packages/gateway/test/crowds.test.ts
@@ -135,4 +135,34 @@
       return checkCrowd('callerAddress', CALLERS, form, { heapMb: SMALL_HEAP_MB });
     });
   }
+
+  // Nothing bounded connections, requests and answers at the other addresses.
+  for (const [address, paths] of Object.entries(PATHS) as [
+    keyof typeof PATHS,
+    readonly string[],
+  ][]) {
+    for (const path of paths) {
+      it(`by requests for ${path} sent ahead at its ${address}`, () => {
+        const request = `GET ${path} HTTP/1.1\r\nHost: a\r\n\r\n`;
+        const form = createRequestsAhead(request);
+        return checkCrowd(address, MANY_CALLERS, form, { heapMb: SMALL_HEAP_MB });
+      });
+    }
+
+    it(`by bodies at its ${address}`, () => checkCrowd(address, CALLERS, TINY_CHUNKS));
+  }
+
+  for (const address of ADDRESSES) {
+    if (address !== 'meshAddress') {
+      it(`by heads without their end at its ${address}`, () =>
+        checkCrowd(address, MANY_CALLERS, OPEN_HEAD));
+    }
+
+    // No descriptor was left for the connections to backend servers.
+    it(`by more silent connections at its ${address} than it has descriptors`, async () => {
+      await start({ descriptors: FEW_DESCRIPTORS });
+      await addCrowd(address, MANY_CALLERS, SILENCE);
+      await checkEntry(FEW_DESCRIPTORS);
+    });
+  }
 });
--- a/packages/kernel/src/administration.ts
+++ b/packages/kernel/src/administration.ts
@@ -2,9 +2,14 @@
  * Administration server of one process: health, readiness, state dump, metrics and the routes that
  * the process adds, over HTTP.
  */
-import type { Server } from 'node:http';
+import { createServer, type RequestListener, type Server } from 'node:http';
 import { App } from '@tinyhttp/app';
+import { applyServerBounds } from './bounded-server.js';
+import type { Clock } from './clock.js';
+import type { ConnectionBounds } from './connection-bounds.js';
 
+/** Time limit for the receipt of a call. */
+const REQUEST_MS = 10_000;
 const METRICS_CONTENT_TYPE = 'text/plain; version=0.0.4; charset=utf-8';
 
 /** Source of the state that the server exposes. */
@@ -13,6 +18,9 @@
   dump: () => unknown;
   /** Returns the metrics as Prometheus text. */
   renderMetrics?: () => string;
+  clock: Clock;
+  /** Bounds of all connections of the process. */
+  bounds: ConnectionBounds;
   /** Adds the process's own routes. */
   addRoutes?: (app: App) => void;
 }
@@ -41,5 +49,7 @@
     });
   }
   source.addRoutes?.(app);
-  return app.listen(port, undefined, host);
+  const server = createServer(app.attach as RequestListener);
+  applyServerBounds(server, { ...source, requestMs: REQUEST_MS });
+  return server.listen(port, host);
 }
