Unfinished frames of the mesh were held without bound

Callers saw an entry of 178 MB take 487 MB: a connection at the mesh address may send a frame of up to 4 MiB and stop just short of its end, and each connection held that much.

Change: connections that others open are counted under the bound of the process, with the pieces of their frames; those that have not said who they are are dropped before known peers.

--- a/packages/agent/src/mesh-server.ts
+++ b/packages/agent/src/mesh-server.ts
@@ -5,8 +5,13 @@
  */
 import { createServer, type Server, type Socket } from 'node:net';
 import type { Clock } from '@masticbend/kernel/clock';
+import type { ConnectionBounds } from '@masticbend/kernel/connection-bounds';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
-import { createConnection, type Connection } from '@masticbend/protocol/connection';
+import {
+  createConnection,
+  type Connection,
+  type ConnectionEvents,
+} from '@masticbend/protocol/connection';
 import {
   MAX_SILENCE_MS,
   PROTOCOL_VERSION,
@@ -52,6 +57,7 @@
   identity: MeshIdentity,
   clock: Clock,
   log: Logger,
+  bounds: ConnectionBounds,
   events: MeshServerEvents,
 ): MeshServer {
   const authenticated = new Map<string, Connection>();
@@ -66,12 +72,14 @@
     const nonce = createNonce();
     const owner = `${nextOwner}`;
     nextOwner += 1;
-    const connection = createConnection(socket, clock, {
+    const connectionEvents: ConnectionEvents = {
       onMessage: (message) => receive(message),
       onSilent: (silentMs) => handleSilence(silentMs),
       onResumed: () => silent.delete(owner),
       onClose: (reason) => handleClose(reason),
-    });
+    };
+    const accepted = { bounds, isKnown: () => authenticated.has(owner) };
+    const connection = createConnection(socket, clock, connectionEvents, accepted);
     unauthenticated.add(connection);
     connection.send({ kind: 'challenge', nonce });
 
--- a/packages/agent/test/harness.ts
+++ b/packages/agent/test/harness.ts
@@ -14,6 +14,7 @@
 import type { BackendCall, ClaimMessage, WorkDescription } from '@masticbend/protocol/call-message';
 import type { Message, MessageKind, MessageOf } from '@masticbend/protocol/message';
 import { createProof } from '@masticbend/protocol/proof';
+import { createDefaultBounds } from '@masticbend/scheduling/default-bounds';
 import { createAgentScheduler } from '@masticbend/scheduling/agent-scheduler';
 import { createCallRecords, type CallRecords } from '../src/call-records.js';
 import { createDispatcher, type Dispatcher } from '../src/dispatcher.js';
@@ -70,7 +71,7 @@
     onCallEnd: () => undefined,
   });
   const identity = { instance: 'agent-1', backendServer: 'server-1', secret: SECRET };
-  const mesh = createMeshServer(identity, createSystemClock(), log, {
+  const mesh = createMeshServer(identity, clock, log, createDefaultBounds(clock, log), {
     onOpen: (owner, { peers }) => dispatcher.send({ kind: 'open', owner, peers }),
     onMessage: (owner, message) => dispatcher.send({ kind: 'message', owner, message }),
     onClose: (owner) => dispatcher.send({ kind: 'gone', owner }),
--- a/packages/gateway/src/peer-mesh.ts
+++ b/packages/gateway/src/peer-mesh.ts
@@ -7,6 +7,7 @@
  */
 import { createServer, type Server, type Socket } from 'node:net';
 import type { Clock } from '@masticbend/kernel/clock';
+import type { ConnectionBounds } from '@masticbend/kernel/connection-bounds';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import { createConnection, type Connection } from '@masticbend/protocol/connection';
 import { encodeFrame } from '@masticbend/protocol/frame';
@@ -68,6 +69,8 @@
   incarnation: string;
   clock: Clock;
   log: Logger;
+  /** Bounds of the connections that others open. */
+  bounds?: ConnectionBounds;
   describeState: () => OwnState;
   onReport: (peer: string, report: PeerReport) => void;
   onTableMessage: (peer: string, message: TableReadMessage | TableRowsMessage) => void;
@@ -111,30 +114,40 @@
   /** The other fields of the last report, for comparison. */
   let reportedState = '';
 
-  function openConnection(socket: Socket): void {
+  function acceptConnection(socket: Socket): void {
+    openConnection(socket, options.bounds);
+  }
+
+  function openConnection(socket: Socket, bounds?: ConnectionBounds): void {
     let peer: Peer | undefined;
-    const connection = createConnection(socket, clock, {
-      onMessage(message) {
-        if (message.kind === 'peer-hello') {
-          peer = addPeer(message.instance, message.incarnation, connection);
-        } else if (message.kind === 'peer-report' && peer) {
-          receiveReport(peer, message);
-        } else if (isTableMessage(message) && peer) {
-          options.onTableMessage(peer.instance, message);
-        } else if (isOriginMessage(message) && peer) {
-          options.onOriginMessage(peer.instance, message);
-        } else if (message.kind === 'crash-evidence' && peer) {
-          options.onCrashMessage(peer.instance, message);
-        } else if (message.kind === 'version-record' && peer) {
-          options.onVersionRecord(message);
-        } else if (isRolloutMessage(message) && peer) {
-          options.onRolloutMessage(peer.instance, peer.incarnation, message);
-        }
-      },
-      onClose(reason) {
-        if (peer && peers.get(peer.instance) === peer) dropPeer(peer, reason);
+    const accepted = bounds && { bounds, isKnown: () => peer !== undefined };
+    const connection = createConnection(
+      socket,
+      clock,
+      {
+        onMessage(message) {
+          if (message.kind === 'peer-hello') {
+            peer = addPeer(message.instance, message.incarnation, connection);
+          } else if (message.kind === 'peer-report' && peer) {
+            receiveReport(peer, message);
+          } else if (isTableMessage(message) && peer) {
+            options.onTableMessage(peer.instance, message);
+          } else if (isOriginMessage(message) && peer) {
+            options.onOriginMessage(peer.instance, message);
+          } else if (message.kind === 'crash-evidence' && peer) {
+            options.onCrashMessage(peer.instance, message);
+          } else if (message.kind === 'version-record' && peer) {
+            options.onVersionRecord(message);
+          } else if (isRolloutMessage(message) && peer) {
+            options.onRolloutMessage(peer.instance, peer.incarnation, message);
+          }
+        },
+        onClose(reason) {
+          if (peer && peers.get(peer.instance) === peer) dropPeer(peer, reason);
+        },
       },
-    });
+      accepted,
+    );
     connection.send({ kind: 'peer-hello', instance: self.instance, incarnation });
     connection.send(createReport({ ...describeState(), usage: reportedUsage }));
   }
@@ -184,7 +197,9 @@
       );
       if (dialAt <= now) {
         lastDialAt.set(instance, now);
-        dialSocket(clock, { ...parseAddress(address), timeoutMs: DIAL_TIMEOUT_MS }, openConnection);
+        dialSocket(clock, { ...parseAddress(address), timeoutMs: DIAL_TIMEOUT_MS }, (socket) =>
+          openConnection(socket),
+        );
       }
     }
   }
@@ -242,7 +257,7 @@
 
   return {
     start() {
-      server = createServer({ noDelay: true }, openConnection);
+      server = createServer({ noDelay: true }, acceptConnection);
       runRound();
       return startServer(server, self.address);
     },
--- a/packages/gateway/src/peer-services.ts
+++ b/packages/gateway/src/peer-services.ts
@@ -132,6 +132,7 @@
     incarnation,
     clock,
     log,
+    bounds: kernel.find('connections'),
     describeState: () => ({
       running: serverPool.listRunning(permits.findLoad),
       usage: limits.listUsage(),
--- a/packages/gateway/src/permit-server.ts
+++ b/packages/gateway/src/permit-server.ts
@@ -5,6 +5,7 @@
  */
 import { createServer, type Server, type Socket } from 'node:net';
 import type { Clock } from '@masticbend/kernel/clock';
+import type { ConnectionBounds } from '@masticbend/kernel/connection-bounds';
 import { renderGauge } from '@masticbend/kernel/gauge';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
 import { Metric } from '@masticbend/kernel/metrics';
@@ -35,6 +36,8 @@
   address: string;
   clock: Clock;
   log: Logger;
+  /** Bounds of the connections of the agent. */
+  bounds?: ConnectionBounds;
   /** The backend server has a pace after its start and after failures. */
   isPaced?: boolean;
   /** Prompts start as the pause objectives of the running streams allow. */
@@ -76,23 +79,30 @@
 
   function openConnection(socket: Socket): void {
     let owner: string | undefined;
-    const connection = createConnection(socket, clock, {
-      onMessage(message) {
-        if (message.kind === 'permit-hello') {
-          owner = message.instance;
-          addOwner(owner, connection, message);
-        } else if (owner !== undefined) {
-          sendAnswers(handleMessage(owner, message));
-          reportReopened();
-        }
+    const { bounds } = options;
+    const accepted = bounds && { bounds, isKnown: () => owner !== undefined };
+    const connection = createConnection(
+      socket,
+      clock,
+      {
+        onMessage(message) {
+          if (message.kind === 'permit-hello') {
+            owner = message.instance;
+            addOwner(owner, connection, message);
+          } else if (owner !== undefined) {
+            sendAnswers(handleMessage(owner, message));
+            reportReopened();
+          }
+        },
+        onClose(reason) {
+          if (owner === undefined || owners.get(owner) !== connection) return;
+          owners.delete(owner);
+          log.info(LogEvent.ConnectionClosed, { peer: owner, reason });
+          sendAnswers(queue.dropOwner(clock.now(), owner));
+        },
       },
-      onClose(reason) {
-        if (owner === undefined || owners.get(owner) !== connection) return;
-        owners.delete(owner);
-        log.info(LogEvent.ConnectionClosed, { peer: owner, reason });
-        sendAnswers(queue.dropOwner(clock.now(), owner));
-      },
-    });
+      accepted,
+    );
   }
 
   function addOwner(
--- a/packages/gateway/test/crowds.test.ts
+++ b/packages/gateway/test/crowds.test.ts
@@ -152,6 +152,10 @@
     it(`by bodies at its ${address}`, () => checkCrowd(address, CALLERS, TINY_CHUNKS));
   }
 
+  // Each connection held up to a whole frame.
+  it('by frames without their end at its meshAddress', () =>
+    checkCrowd('meshAddress', CALLERS, OPEN_FRAME));
+
   for (const address of ADDRESSES) {
     if (address !== 'meshAddress') {
       it(`by heads without their end at its ${address}`, () =>
@@ -165,4 +169,15 @@
       await checkEntry(FEW_DESCRIPTORS);
     });
   }
+
+  it('by crowds at all its addresses together', async () => {
+    await start();
+    const ahead = createRequestsAhead('GET / HTTP/1.1\r\nHost: a\r\n\r\n');
+    await addCrowd('callerAddress', SLOW_CALLERS, LARGE_CHUNKS, REOPENS);
+    await addCrowd('callerAddress', SLOW_CALLERS, ahead, REOPENS);
+    await addCrowd('meshAddress', SLOW_CALLERS, OPEN_FRAME, REOPENS);
+    await addCrowd('readinessAddress', SLOW_CALLERS, ahead, REOPENS);
+    await addCrowd('metricsAddress', SLOW_CALLERS, ahead, REOPENS);
+    await checkEntry(OWN_DESCRIPTORS + 5 * SLOW_CALLERS);
+  });
 });
--- a/packages/protocol/src/connection.ts
+++ b/packages/protocol/src/connection.ts
@@ -5,6 +5,11 @@
  */
 import type { Socket } from 'node:net';
 import type { Clock } from '@masticbend/kernel/clock';
+import {
+  CONNECTION_BYTES,
+  type BoundedConnection,
+  type ConnectionBounds,
+} from '@masticbend/kernel/connection-bounds';
 import { createFrameDecoder, encodeFrame, FrameError } from './frame.js';
 import { HEARTBEAT_INTERVAL_MS, HEARTBEAT_TIMEOUT_MS, type Message } from './message.js';
 
@@ -32,6 +37,13 @@
   onClose: (reason: string) => void;
 }
 
+/** Bounds of a connection that the peer has opened. */
+export interface AcceptedBounds {
+  bounds: ConnectionBounds;
+  /** Returns whether the peer has said who it is; connections of others are dropped before its. */
+  isKnown: () => boolean;
+}
+
 /** One end of a message connection. */
 export interface Connection {
   /** Queues a message; returns false when the connection is closed or finishing. */
@@ -61,6 +73,7 @@
   socket: Socket,
   clock: Clock,
   events: ConnectionEvents,
+  accepted?: AcceptedBounds,
 ): Connection {
   const decoder = createFrameDecoder();
   let open = true;
@@ -70,6 +83,21 @@
   let checkedAt = lastReceivedAt;
   let stopCheckTimer = clock.startTimer(HEARTBEAT_INTERVAL_MS, checkPeer);
 
+  const bounded: BoundedConnection = {
+    openedAt: lastReceivedAt,
+    measure: () => ({
+      baseBytes: CONNECTION_BYTES,
+      outputBytes: socket.writableLength,
+      dueBytes: accepted?.isKnown() ? 0 : socket.writableLength,
+      otherBytes: decoder.countMemory(),
+      movedBytes: socket.bytesRead + socket.bytesWritten - socket.writableLength,
+      takenBytes: socket.bytesWritten - socket.writableLength,
+      isRefusable: !accepted?.isKnown(),
+    }),
+    setBlocked: () => undefined,
+    drop: () => close('too much is held for all connections'),
+  };
+
   function checkPeer(): void {
     if (!open) return;
     const now = clock.now();
@@ -111,6 +139,7 @@
     open = false;
     stopCheckTimer();
     socket.destroy();
+    accepted?.bounds.remove(bounded);
     events.onClose(reason);
   }
 
@@ -133,6 +162,8 @@
   socket.setNoDelay(true);
   socket.on('data', (bytes) => {
     recordBytes();
+    accepted?.bounds.mayTake(bounded);
+    if (!open) return;
     try {
       for (const message of decoder.push(bytes)) {
         if (open && message.kind !== 'heartbeat') events.onMessage(message);
@@ -144,6 +175,7 @@
   });
   socket.on('error', (error) => close(error.message));
   socket.on('close', () => close('connection closed'));
+  accepted?.bounds.add(bounded);
 
   const peer = `${socket.remoteAddress ?? 'unknown'}:${socket.remotePort ?? 0}`;
   return {
--- a/packages/protocol/src/frame.ts
+++ b/packages/protocol/src/frame.ts
@@ -10,6 +10,9 @@
 /** Size of the length prefix. */
 const PREFIX_BYTES = 4;
 
+/** Memory of a piece of a frame beside its bytes; the peer chooses the size of pieces. */
+const PIECE_BYTES = 128;
+
 /** Largest frame body accepted. */
 export const MAX_FRAME_BYTES = 4 * 1024 * 1024;
 
@@ -46,6 +49,8 @@
 export interface FrameDecoder {
   /** Returns the messages completed by `bytes`; throws `FrameError` on an invalid frame. */
   push: (bytes: Buffer) => Message[];
+  /** Returns the memory of a frame that is not complete, in bytes. */
+  countMemory: () => number;
 }
 
 /** Returns a decoder for one connection; `maxBytes` limits the body of a frame. */
@@ -77,6 +82,7 @@
       }
       return messages;
     },
+    countMemory: () => pendingBytes + pending.length * PIECE_BYTES,
   };
 }
 
