Input that waited was passed to the parser of a connection that had ended

An agent ended by itself (parser.onIncoming is not a function) when requests sent ahead at its metrics address ran into the time limit: the library frees the parser with the connection, and the rest of the input was still passed to it. Each slice now asks first whether the connection has ended. The tests of an agent's addresses found it: red before, six green after.

--- a/packages/kernel/src/metered-input.ts
+++ b/packages/kernel/src/metered-input.ts
@@ -72,13 +72,18 @@
     return isPaused || isBlocked;
   }
 
+  /** The parser of a connection that has ended serves another one. */
+  function hasEnded(): boolean {
+    return isDropping || socket.destroyed;
+  }
+
   function isFull(): boolean {
     return heldMemory >= MAX_HELD_BYTES;
   }
 
   /** Reads on while nothing is passed to the library. */
   function startHolding(): void {
-    if (!isHolding() || isDropping || socket.destroyed) return;
+    if (!isHolding() || hasEnded()) return;
     if (!isFull()) resumeReading();
   }
 
@@ -115,7 +120,7 @@
   function pushHeld(): void {
     let turnBytes = 0;
     isPushDue = false;
-    while (!isHolding() && !isDropping && held.length > 0) {
+    while (!isHolding() && !hasEnded() && held.length > 0) {
       if (turnBytes >= TURN_BYTES) {
         schedulePush();
         return;
@@ -124,6 +129,7 @@
         isBlocked = true;
         return;
       }
+      if (hasEnded()) return;
       const slice = takeSlice(isWithinBody() ? BODY_SLICE_BYTES : HEAD_SLICE_BYTES);
       turnBytes += slice.length;
       parsedBytes += slice.length;
