--- a/packages/gateway/test/agent-crowds.test.ts
+++ b/packages/gateway/test/agent-crowds.test.ts
@@ -63,11 +63,11 @@
     writeFileSync(path, stringify({ instance: 'agent-1', logLevel: 'info', ...addresses }));
     child = startLimited([...FLAGS, PROGRAM, path], descriptors);
     output = '';
-    for (const stream of [child.stdout, child.stderr]) {
-      stream.on('data', (chunk: Buffer) => {
-        output += chunk.toString();
-      });
-    }
+    const keepOutput = (chunk: Buffer) => {
+      output += chunk.toString();
+    };
+    child.stdout.on('data', keepOutput);
+    child.stderr.on('data', keepOutput);
     await waitUntil(() => output.includes('event=process-started'), START_TIMEOUT_MS);
   }
 
