--- a/packages/gateway/test/settings.test.ts
+++ b/packages/gateway/test/settings.test.ts
@@ -13,6 +13,8 @@
   'internal_ports.0': '7600',
   'internal_ports.1': '7615',
   'platform.address': '10.200.1.7:8225',
+  'limits.memory_mb': '200',
+  'limits.max_fds': '4100',
   first_start: 'true',
   contracts: 'base,drain,health,rollout,pressure',
   'bounds.exposure_share': '0.1',
--- a/packages/scheduling/test/held-bytes.test.ts
+++ b/packages/scheduling/test/held-bytes.test.ts
@@ -133,4 +133,36 @@
     expect(held.getAnswerAllowance()).to.equal(0);
     expect(held.count()).to.be.at.most(BOUNDS.processBytes / 2 + BOUNDS.connectionBytes);
   });
+
+  // A crowd of half bodies made an entry drop its ordinary callers' answers.
+  it('drop what holds most without moving before idle connections and readers that keep up', () => {
+    const held = createHeldBytes<string>({ ...BOUNDS, processBytes: 10_000 });
+    const idle = { ...describeReader({ bytesPerStep: 0, queued: 0, taken: 0 }), baseBytes: 100 };
+    for (let now = 0; now <= 1_000; now += STEP_MS) {
+      held.update(now, 'body', {
+        ...idle,
+        otherBytes: 9_500,
+        movedBytes: 9_500,
+        isRefusable: true,
+      });
+      held.update(now, 'reader', {
+        ...describeReader({ bytesPerStep: 0, queued: 400, taken: now * 10 }),
+        baseBytes: 100,
+      });
+      held.update(now, 'idle', { ...idle, isRefusable: true });
+    }
+    expect(held.takeDropped(1_000).map(({ id }) => id)).to.deep.equal(['body']);
+  });
+
+  // Nothing was left for the connections that the process opens itself.
+  it('drop connections above their number, those that have been idle for longest first', () => {
+    const held = createHeldBytes<number>({ ...BOUNDS, maxConnections: 20 });
+    for (let id = 0; id < 21; id += 1) {
+      const sample = describeReader({ bytesPerStep: 0, queued: 0, taken: 0 });
+      held.update(id * STEP_MS, id, { ...sample, baseBytes: KIB, isRefusable: true });
+    }
+    expect(held.isExceeded()).to.equal(true);
+    expect(held.takeDropped(21 * STEP_MS).map(({ id }) => id)).to.deep.equal([0, 1, 2]);
+    expect(held.isExceeded()).to.equal(false);
+  });
 });
