Bounds of connections: garbage is collected once per 16 MiB dropped, and closed connections stay removed

A collection at each drop would cost a crowd's victim its processor: a drop frees a tenth of the bound only. A connection that is measured after its close was counted again and for good.

--- a/packages/kernel/src/connection-bounds.ts
+++ b/packages/kernel/src/connection-bounds.ts
@@ -18,7 +18,7 @@
  * Bytes of dropped connections from which their memory is collected at once. Otherwise it is freed
  * up to 64 MiB later, which the process may not have.
  */
-const COLLECTED_BYTES = 4 * 1024 * 1024;
+const COLLECTED_BYTES = 16 * 1024 * 1024;
 const CHECK_INTERVAL_MS = 100;
 /** Bytes that may be added between two checks. */
 const EARLY_CHECK_BYTES = 8 * 1024 * 1024;
@@ -110,23 +110,15 @@
   held: HeldBytes<BoundedConnection>;
 }
 
-/**
- * Counts a connection that holds only what its socket does, until it closes. Returns a function
- * that tells whether more of its input may be taken.
- */
-export function addPlainConnection(
-  clock: Clock,
-  bounds: ConnectionBounds,
-  socket: Socket,
-  countInput: () => number = () => 0,
-): () => boolean {
+/** Counts a connection that holds only what its socket does, until it closes. */
+export function addPlainConnection(clock: Clock, bounds: ConnectionBounds, socket: Socket): void {
   const connection: BoundedConnection = {
     openedAt: clock.now(),
     measure: () => ({
       baseBytes: CONNECTION_BYTES,
       outputBytes: socket.writableLength,
       dueBytes: socket.writableLength,
-      otherBytes: countInput(),
+      otherBytes: 0,
       movedBytes: socket.bytesRead + socket.bytesWritten - socket.writableLength,
       takenBytes: socket.bytesWritten - socket.writableLength,
       isRefusable: true,
@@ -136,7 +128,6 @@
   };
   socket.once('close', () => bounds.remove(connection));
   bounds.add(connection);
-  return () => bounds.mayTake(connection);
 }
 
 /** Collects garbage where the process was started with `--expose-gc`. */
@@ -152,6 +143,8 @@
 }: ConnectionBoundsOptions): ConnectionBounds {
   const connections = new Set<BoundedConnection>();
   let addedBytes = 0;
+  /** Bytes of connections that were dropped since garbage was collected. */
+  let droppedBytes = 0;
   let stopTimer: (() => void) | undefined;
   let isCheckDue = false;
 
@@ -171,14 +164,16 @@
       held.update(now, connection, sample);
       if (!isAbove(sample, held.getAllowance())) connection.setBlocked(false);
     }
-    let droppedBytes = 0;
     for (const { id, reason, heldBytes } of held.takeDropped(now)) {
       const ageMs = Math.round(now - id.openedAt);
       log.warn(LogEvent.ConnectionCut, { reason, heldBytes, ageMs });
       id.drop();
       droppedBytes += heldBytes;
     }
-    if (droppedBytes >= COLLECTED_BYTES) setImmediate(collectGarbage);
+    if (droppedBytes >= COLLECTED_BYTES) {
+      droppedBytes = 0;
+      setImmediate(collectGarbage);
+    }
     if (held.count() > 0) scheduleCheck();
   }
 
@@ -189,6 +184,8 @@
   /** Measures one connection; the others are measured as well where a bound is exceeded. */
   function update(connection: BoundedConnection): HeldSample {
     const sample = connection.measure();
+    // Nothing would remove a connection that has closed.
+    if (!connections.has(connection)) return sample;
     held.update(clock.now(), connection, sample);
     if (held.isExceeded()) check();
     else if (held.count() > 0) scheduleCheck();
