--- a/packages/kernel/src/bounded-server.ts
+++ b/packages/kernel/src/bounded-server.ts
@@ -1,6 +1,7 @@
 /**
  * Bounds the connections of an HTTP server that answers each request by itself. Requests that are
- * sent ahead wait unread until the answers before them were taken.
+ * sent ahead wait unread until the answers before them were taken, beside those in the same slice
+ * of input.
  */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
