Test of slow readers: wait for the answer's bytes, since those of the request count first

The test took the first bytes that were counted for those of the answer. The test waits until as much as one write of the answer is counted, and checks the same bounds as before.

--- a/packages/gateway/test/slow-readers.test.ts
+++ b/packages/gateway/test/slow-readers.test.ts
@@ -159,7 +159,8 @@
       write();
     });
     send().socket.pause();
-    await waitUntil(() => bounds.countBytes() > 0);
+    // The bytes of the request count before those of its answer.
+    await waitUntil(() => bounds.countBytes() >= SLOW_BYTES);
     expect(bounds.countBytes()).to.be.within(MIB / 2, MIB + SLOW_BYTES);
   });
 });
