An empty list of accounts opened all routes

Cause: a document without `tenants`, with an empty list and with a list of faulty entries decoded to the same empty list, which counted as a configuration that needs no keys.

The decoded accounts are now undefined where the document has none, so that the type makes each reader treat both. Two more members of the class: an empty text among an account's keys admitted requests without a key, and a request admitted without a key was not checked again before it was sent. The check by command and the dump tell the two apart as well.

--- a/packages/gateway/src/access.ts
+++ b/packages/gateway/src/access.ts
@@ -1,5 +1,6 @@
 /** Access control: routes, API keys, and the age of the configuration that holds the keys. */
 import { ErrorKind, type Failure } from '@masticbend/protocol/error';
+import type { GatewayRoute } from '@masticbend/settings/routing';
 import type { ConfigurationView } from './configuration-view.js';
 import type { Access, IncomingRequest, RequestState } from './request-state.js';
 
@@ -29,23 +30,36 @@
   if (countHosts(rawHeaders) > 1) return { kind: ErrorKind.InvalidRequest };
   const route = view.routes.find(host, target);
   if (!route) return { kind: ErrorKind.NotFound };
-  if (route.anonymous || view.configuration.accounts.length === 0) return { route };
-  if (!areKeysFresh()) return STALE_KEYS;
-  const account = view.accounts.get(metadata.apiKey ?? '');
-  return account ? { route, account } : { kind: ErrorKind.Unauthenticated };
+  return checkKey(view, route, metadata.apiKey, areKeysFresh);
 }
 
-/** Checks a request again before it is sent: its key may have been revoked while it waited. */
+/**
+ * Checks a request again before it is sent: its key may have been revoked while it waited, or its
+ * route may need a key since. A route that was removed since needs one if it did so before.
+ */
 export function checkAccessAgain(
-  view: ConfigurationView | undefined,
-  { account, incoming, version }: RequestState,
+  view: ConfigurationView,
+  { route, account, incoming }: RequestState,
   areKeysFresh: KeyFreshnessCheck,
 ): Failure | undefined {
-  if (!account) return undefined;
+  const { host, target, metadata } = incoming;
+  const currentRoute = view.routes.find(host, target) ?? route;
+  const access = checkKey(view, currentRoute, metadata.apiKey, areKeysFresh);
+  if ('kind' in access) return access;
+  const isSameAccount = !account || !access.account || access.account.name === account.name;
+  return isSameAccount ? undefined : { kind: ErrorKind.Unauthenticated };
+}
+
+function checkKey(
+  view: ConfigurationView,
+  route: GatewayRoute,
+  apiKey: string | undefined,
+  areKeysFresh: KeyFreshnessCheck,
+): Failure | Access {
+  if (route.anonymous || !view.accounts) return { route };
   if (!areKeysFresh()) return STALE_KEYS;
-  if (view?.configuration.version === version) return undefined;
-  const isKeyValid = view?.accounts.get(incoming.metadata.apiKey ?? '')?.name === account.name;
-  return isKeyValid ? undefined : { kind: ErrorKind.Unauthenticated };
+  const account = apiKey === undefined ? undefined : view.accounts.get(apiKey);
+  return account ? { route, account } : { kind: ErrorKind.Unauthenticated };
 }
 
 /** A request with several hosts is invalid (RFC 9112, section 3.2). */
--- a/packages/gateway/src/configuration-view.ts
+++ b/packages/gateway/src/configuration-view.ts
@@ -6,18 +6,18 @@
 export interface ConfigurationView {
   configuration: RoutingConfiguration;
   routes: RouteIndex;
-  /** Accounts by API key. */
-  accounts: ReadonlyMap<string, GatewayAccount>;
+  /** Accounts by API key; undefined where the configuration has no accounts. */
+  accounts: ReadonlyMap<string, GatewayAccount> | undefined;
 }
 
 /** Builds the indexes of a configuration. */
 export function createConfigurationView(configuration: RoutingConfiguration): ConfigurationView {
-  const keys = configuration.accounts.flatMap((account) =>
+  const keys = configuration.accounts?.flatMap((account) =>
     account.keys.map((key) => [key, account] as const),
   );
   return {
     configuration,
     routes: createRouteIndex(configuration.routes),
-    accounts: new Map(keys),
+    accounts: keys && new Map(keys),
   };
 }
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -297,7 +297,7 @@
     retryAdvisor.recordSent();
     const refusal = isTooLate(state, finishMs)
       ? STOPPED
-      : checkAccessAgain(options.getView(), state, options.areKeysFresh);
+      : checkAccessAgain(options.getView()!, state, options.areKeysFresh);
     if (refusal) {
       permits.release(entry.server.id, state.id);
       finishPlacing(state, refusal);
--- a/packages/gateway/src/view-service.ts
+++ b/packages/gateway/src/view-service.ts
@@ -76,8 +76,8 @@
       version: configuration.version,
       revision: row.revision,
       routes: configuration.routes.length,
-      accounts: configuration.accounts.length,
-      keys: view.accounts.size,
+      accounts: configuration.accounts?.length ?? 'none',
+      keys: view.accounts?.size,
       peer,
       ageMs: Math.round(ageMs),
     });
@@ -157,10 +157,15 @@
     areKeysFresh: checkKeyFreshness,
     getAgeMs: feed.getAgeMs,
     isConfigurationRecent: () => getAgeMs() < keyFreshnessMs * READINESS_FRACTION,
-    dump: () => ({ version: view?.configuration.version, revision: feed.getRevision() }),
+    dump: () => ({
+      version: view?.configuration.version,
+      revision: feed.getRevision(),
+      accounts: view?.configuration.accounts?.length ?? 'none',
+    }),
   };
 }
 
 function listLimits({ accounts }: RoutingConfiguration): Map<string, AccountLimit> {
-  return new Map(accounts.flatMap(({ name, limit }) => (limit ? [[name, limit] as const] : [])));
+  const limited = accounts?.flatMap(({ name, limit }) => (limit ? [[name, limit] as const] : []));
+  return new Map(limited);
 }
--- a/packages/gateway/test/check-configuration.test.ts
+++ b/packages/gateway/test/check-configuration.test.ts
@@ -137,6 +137,17 @@
     expect(result.output).not.to.include(KEY);
   });
 
+  // Whether keys are needed at all was not part of the differences.
+  it('tells a document whose accounts are all removed from one without accounts', () => {
+    const emptied = { ...SOUND, version: SOUND.version + 1, tenants: [] };
+    const path = write('emptied.json', emptied);
+    const open = write('open.json', { ...SOUND, tenants: undefined });
+    const { output } = run([path, '--against', open]);
+    expect(output).to.include('every route that is not anonymous refuses all requests');
+    expect(output).to.include('keys not required -> required');
+    expect(run([path, '--against', 'sound.json']).output).not.to.include('keys required');
+  });
+
   // Entries ignore such a document without a log line.
   it('refuses a version that is not above the one in force', () => {
     const { code, output } = run(['sound.json', '--against', 'next.json']);
--- a/packages/scheduling/src/configuration-changes.ts
+++ b/packages/scheduling/src/configuration-changes.ts
@@ -32,6 +32,7 @@
   streamed: () => true,
   unit: (before, after) => before !== undefined && after !== undefined,
   anonymous: (before) => before === true,
+  keys: () => true,
   timeoutMs: isLowered,
   attempts: isLowered,
   ratePerSecond: isLowered,
@@ -49,10 +50,15 @@
 /** Returns the differences; those that callers notice come first. */
 export function listChanges(before: RoutingConfiguration, after: RoutingConfiguration): Change[] {
   const changes = [
-    ...listKeyChanges(before.accounts, after.accounts),
+    ...compareEntries(describeKeyUse(before), describeKeyUse(after), true),
+    ...listKeyChanges(before.accounts ?? [], after.accounts ?? []),
     ...compareEntries(describeRoutes(before.routes), describeRoutes(after.routes), true),
     ...compareEntries(describeServices(before.services), describeServices(after.services), false),
-    ...compareEntries(describeAccounts(before.accounts), describeAccounts(after.accounts), true),
+    ...compareEntries(
+      describeAccounts(before.accounts ?? []),
+      describeAccounts(after.accounts ?? []),
+      true,
+    ),
     ...compareEntries(describeLimits(before.limits), describeLimits(after.limits), false),
   ];
   return [
@@ -89,6 +95,11 @@
     }));
 }
 
+/** A configuration without accounts opens all routes. */
+function describeKeyUse({ accounts }: RoutingConfiguration): Entries {
+  return new Map([['routes', { keys: accounts ? 'required' : 'not required' }]]);
+}
+
 /** A key belongs to the last account that lists it. */
 function listKeyChanges(
   before: readonly GatewayAccount[],
--- a/packages/scheduling/src/configuration-check.ts
+++ b/packages/scheduling/src/configuration-check.ts
@@ -50,10 +50,14 @@
     ...[...services.keys()].flatMap((name) =>
       describeFindings(`service "${name}"`, [!routed.has(name) && 'no route names it']),
     ),
-    ...accounts.flatMap((account) =>
+    ...describeFindings('accounts', [
+      accounts?.length === 0 &&
+        'none is left: every route that is not anonymous refuses all requests',
+    ]),
+    ...(accounts ?? []).flatMap((account) =>
       describeFindings(`account "${account.name}"`, checkAccount(account)),
     ),
-    ...checkSharedKeys(accounts),
+    ...checkSharedKeys(accounts ?? []),
     ...describeFindings('limits', checkCallerLimits(limits, configuration)),
   ];
 }
--- a/packages/settings/src/routing.ts
+++ b/packages/settings/src/routing.ts
@@ -106,7 +106,11 @@
   version: number;
   routes: GatewayRoute[];
   services: Map<string, GatewayService>;
-  accounts: GatewayAccount[];
+  /**
+   * Undefined where the configuration has no accounts at all, so that no route needs a key. With an
+   * empty list no key is valid, and only anonymous routes are open.
+   */
+  accounts: GatewayAccount[] | undefined;
   limits: CallerLimits;
 }
 
