The budget of repeats was spent again by each life of a process

Cause: a process counts its own repeats from its start on and began with an unused budget; until it had read the list of entries it took the whole slack. The dump of an entry now shows its share of the slack and what is saved and used.

The share of the slack shrinks at once and grows after a window, and is gone while the others may have it. Where the deployment itself starts for the first time, there is nothing to presume.

The harness waits until an entry knows its share.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,7 +14,7 @@
 import { createLogger, LogEvent, type Logger } from '@masticbend/kernel/log';
 import { createMetrics, Metric } from '@masticbend/kernel/metrics';
 import { createStore } from '@masticbend/platform/store';
-import { createRepeatBudget } from '@masticbend/scheduling/repeat-budget';
+import { createRepeatBudget, type RepeatBudget } from '@masticbend/scheduling/repeat-budget';
 import type { PacedServers } from '@masticbend/scheduling/paced-servers';
 import type { LimitShare } from '@masticbend/scheduling/server-limit';
 import { createServerPool } from '@masticbend/scheduling/server-pool';
@@ -116,6 +116,7 @@
       settings.features.steadyStreams ? createStreamPauses() : undefined,
     ),
   );
+  kernel.provide('repeats', () => createRepeatsService(kernel, settings));
   kernel.provide('limits', () => createSharedLimits(settings.bounds.limitWindowS * 1_000));
   kernel.provide('view', () => createViewService(kernel, settings, getElapsed));
   kernel.provide('servers', () => createServersService(kernel, settings, getElapsed));
@@ -241,9 +242,21 @@
   return { ...client, stop: client.close };
 }
 
+function createRepeatsService(
+  kernel: Kernel<GatewayServices>,
+  { bounds, isFirstStart }: GatewaySettings,
+): RepeatBudget {
+  const bound = {
+    ratio: bounds.repeatRatio,
+    slack: bounds.repeatSlack,
+    windowMs: bounds.repeatWindowS * 1_000,
+  };
+  return createRepeatBudget(bound, kernel.find('clock').now(), isFirstStart);
+}
+
 function createRequestsService(
   kernel: Kernel<GatewayServices>,
-  { bounds, features }: GatewaySettings,
+  { features }: GatewaySettings,
   paces: PacedServers | undefined,
 ): Requests {
   const metrics = kernel.find('metrics');
@@ -261,11 +274,7 @@
     limits: kernel.find('limits'),
     paces,
     permits: kernel.find('permits'),
-    repeatBudget: createRepeatBudget({
-      ratio: bounds.repeatRatio,
-      slack: bounds.repeatSlack,
-      windowMs: bounds.repeatWindowS * 1_000,
-    }),
+    repeatBudget: kernel.find('repeats'),
     getView: view.getView,
     areKeysFresh: view.areKeysFresh,
     rankRequest: chooseRanking(features),
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -49,6 +49,8 @@
   refresh: () => void;
   /** Other entries whose lease has not expired. */
   listOthers: () => Member[];
+  /** Returns whether all entries of before this one's start are known. */
+  areOthersKnown: () => boolean;
   /** Returns whether this entry's own lease is valid and the other entries are known. */
   isLeaseHeld: () => boolean;
 }
@@ -212,6 +214,7 @@
     refresh: () => wake(),
     listOthers: () =>
       [...knownMembers.values()].map(({ instance, address }) => ({ instance, address })),
+    areOthersKnown: () => areOthersKnown,
     isLeaseHeld: () =>
       areOthersKnown && renewedAt !== undefined && getElapsed() - renewedAt < OWN_LEASE_MS,
   };
--- a/packages/gateway/src/peer-services.ts
+++ b/packages/gateway/src/peer-services.ts
@@ -100,11 +100,15 @@
 
   /**
    * Sets this entry's limit share: the fraction of all entries that are live, itself included; 0
-   * while its lease is not held.
+   * while its lease is not held. For repeats it is a member as well while all others are connected,
+   * as these count it without its row.
    */
   function updateShare(livePeers: number): void {
     const liveEntries = livePeers + 1;
     const knownEntries = Math.max(liveEntries, members.listOthers().length + 1);
+    const isMember =
+      members.isLeaseHeld() || (members.areOthersKnown() && liveEntries === knownEntries);
+    kernel.find('repeats').setInstances(clock.now(), isMember ? knownEntries : undefined);
     const nextShare = members.isLeaseHeld() ? liveEntries / knownEntries : 0;
     if (nextShare === share) return;
     share = nextShare;
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -82,7 +82,7 @@
   avoidsPauses?: boolean;
   /** Ranks without a prospect of slots are closed; undefined where that is off. */
   earlyRefusals?: { findClosedRank: PermitClient['findClosedRank'] };
-  /** Returns the number of instances that share the repeat budget and the slots. */
+  /** Returns the number of instances that share the slots. */
   countInstances: () => number;
   recordOutcome: (outcome: RequestOutcome) => void;
   /** Called when a complete answer had a pause above the objective of its route. */
@@ -325,7 +325,7 @@
     const now = clock.now();
     if (isStopped || !isRepeatAllowed(now, state) || !guard.isRepeatSafe(state)) return false;
     if (state.repeatTakenAt !== undefined) return true;
-    if (!repeatBudget.tryTake(now, state.service, options.countInstances())) return false;
+    if (!repeatBudget.tryTake(now, state.service)) return false;
     state.repeatTakenAt = now;
     return true;
   }
--- a/packages/gateway/src/services.ts
+++ b/packages/gateway/src/services.ts
@@ -4,6 +4,7 @@
 import type { Lifecycle } from '@masticbend/kernel/kernel';
 import type { Logger } from '@masticbend/kernel/log';
 import type { Metrics } from '@masticbend/kernel/metrics';
+import type { RepeatBudget } from '@masticbend/scheduling/repeat-budget';
 import type { ServerPool } from '@masticbend/scheduling/server-pool';
 import type { ServiceDemand } from '@masticbend/scheduling/service-demand';
 import type { SharedLimits } from '@masticbend/scheduling/shared-limit';
@@ -32,6 +33,7 @@
   client: BackendClient & Lifecycle;
   board: ServerPool & Lifecycle;
   limits: SharedLimits & Lifecycle;
+  repeats: RepeatBudget & Lifecycle;
   demand: ServiceDemand & Lifecycle;
   view: ViewService & Lifecycle;
   servers: TableFeed & Lifecycle;
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -100,7 +100,7 @@
   /** Lines of the log of the deployment's own entry, where they are kept. */
   logLines: readonly string[];
   call: (path: string, options?: CallOptions) => Promise<Reply>;
-  /** Waits until the entry is ready and has written its membership row. */
+  /** Waits until the entry is ready, has written its membership row and may repeat requests. */
   waitUntilServing: () => Promise<void>;
   /** Starts another entry and returns its caller address. */
   startEntry: () => Promise<string>;
@@ -215,13 +215,17 @@
       store.put('op', 'config', { ...DOCUMENT, version: DOCUMENT.version + 1, routes, services });
     },
     call,
-    waitUntilServing: () => waitUntilServing(settings, store),
+    async waitUntilServing() {
+      await waitUntilServing(settings, store);
+      await waitUntil(() => hasRepeats(gateway));
+    },
     async startEntry() {
       const entrySettings = await createSettings(store.address);
       const entry = createGateway({ ...entrySettings, features: settings.features, rollout });
       entries.push(entry);
       await entry.start();
       await waitUntilServing(entrySettings, store);
+      await waitUntil(() => hasRepeats(entry));
       return entrySettings.callerAddress;
     },
     waitUntilConnected: (peers) =>
@@ -268,6 +272,11 @@
   };
 }
 
+/** Returns whether an entry has a share of the slack for repeats, since it knows the others. */
+function hasRepeats(entry: Gateway): boolean {
+  return /"repeats":{"slack":[1-9]/.test(JSON.stringify(entry.dump()));
+}
+
 /** Returns how many peers of an entry are live. */
 function countPeers(entry: Gateway): number {
   return JSON.stringify(entry.dump()).split('"heard":true').length - 1;
