A table read in several pages stood for no single moment

Cause: the revision of the last page stood for all pages, so that the feed left out what had changed on earlier pages in between. The evidence is the case, which changes rows exactly there, and the same between two pages of the stand-in.

--- a/packages/gateway/test/platform-state.test.ts
+++ b/packages/gateway/test/platform-state.test.ts
@@ -119,6 +119,21 @@
     expect(deployment.backends[1]!.arrivals.length).to.equal(10);
   });
 
+  // An entry that started in between used such servers until their rows were removed (review/12).
+  it('send no requests to a server that drains while a new entry reads the list', async () => {
+    await start(answerOk, answerOk);
+    const { faults } = deployment.store;
+    faults.pageRows = 1;
+    faults.onPage = (table) => {
+      if (table === 'servers') deployment.writeServer(0, { state: 'draining' });
+    };
+    const address = await deployment.startEntry();
+    for (let call = 0; call < 8; call += 1) {
+      expect((await deployment.call('/again/a', { address })).status).to.equal(200);
+    }
+    expect(deployment.backends.map(({ arrivals }) => arrivals.length)).to.deep.equal([0, 8]);
+  });
+
   it('send no requests to a server whose registration was removed or is invalid', async () => {
     await start(answerOk, answerOk);
     deployment.store.remove('servers', 'i-0');
