Requests that waited for a connection reached servers that drain

Cause: entries placed as many requests as a server has slots, up to 100, and the HTTP client has 40 connections to it; the others waited in its queue, where nothing was checked again. The evidence is the test: with one server and 60 requests, 20 are sent to it after it has drained.

No more requests are placed at a server than there are connections to it. The others wait in the entry's queue, where the report, a revoked key or a blocked cause reaches them. What runs at a server at once is as before.

--- a/packages/gateway/src/backend-client.ts
+++ b/packages/gateway/src/backend-client.ts
@@ -5,6 +5,7 @@
 import type { Socket } from 'node:net';
 import { buildConnector, Client, Pool, type Dispatcher } from 'undici';
 import type { HeaderMap } from '@masticbend/platform/ingress';
+import { MAX_CONNECTIONS_PER_SERVER } from '@masticbend/scheduling/server-entry';
 import type { BackendServer } from '@masticbend/settings/routing';
 import { Framing, readFraming } from './answer-framing.js';
 import { createAnswerInput, type AnswerInput } from './answer-input.js';
@@ -16,8 +17,6 @@
 const KEEP_ALIVE_TIMEOUT_MS = 4_000;
 /** Time before the end of the server's announced keep-alive at which a connection is not reused. */
 const KEEP_ALIVE_MARGIN_MS = 1_000;
-/** Maximum connections to one backend server from this process. */
-const MAX_CONNECTIONS_PER_SERVER = 40;
 
 /** Events of an exchange, in this order. */
 export interface ExchangeEvents {
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -10,7 +10,7 @@
   type AgentLoad,
   type PlacementQuery,
 } from '@masticbend/scheduling/server-candidate';
-import { isUsable, type ServerEntry } from '@masticbend/scheduling/server-entry';
+import { hasFreeConnection, isUsable, type ServerEntry } from '@masticbend/scheduling/server-entry';
 import type { Choice, ServerChoice, ServerPool } from '@masticbend/scheduling/server-pool';
 import type { RequestQueue } from '@masticbend/scheduling/request-queue';
 import { Repeat } from '@masticbend/settings/routing';
@@ -281,6 +281,7 @@
     if (
       !entry ||
       !isUsable(clock.now(), entry) ||
+      !hasFreeConnection(entry) ||
       !isVersionAccepted(state, entry.server.softwareVersion)
     ) {
       permits.release(serverId, id);
--- a/packages/scheduling/src/server-entry.ts
+++ b/packages/scheduling/src/server-entry.ts
@@ -15,6 +15,12 @@
 /** Relative slow-down of an engine by each concurrent request. */
 const SLOWDOWN_PER_REQUEST = 0.03;
 
+/**
+ * Maximum connections of an instance to one server. No more requests are sent there at once: one
+ * without a connection waits where it can still be placed elsewhere or refused.
+ */
+export const MAX_CONNECTIONS_PER_SERVER = 40;
+
 /** Size of a request, as placement needs it. */
 export interface PlacedWork {
   /** Prompt tokens, 0 for plain services. */
@@ -73,6 +79,11 @@
   return !isGoing(entry) && Math.max(ejectedUntil, excludedUntil, pausedUntil) <= now;
 }
 
+/** Returns whether another request can be sent to the server at once. */
+export function hasFreeConnection({ running }: ServerEntry): boolean {
+  return running < MAX_CONNECTIONS_PER_SERVER;
+}
+
 /** Returns when a server that asked for a pause may be used again; undefined for any other. */
 export function findPauseEnd(now: number, entry: ServerEntry): number | undefined {
   if (isGoing(entry) || entry.pausedUntil <= now) return undefined;
--- a/packages/scheduling/src/server-pool.ts
+++ b/packages/scheduling/src/server-pool.ts
@@ -23,6 +23,7 @@
   estimateFinishMs,
   estimateFirstMs,
   findPauseEnd,
+  hasFreeConnection,
   isUsable,
   type PlacedWork,
   type ServerEntry,
@@ -195,7 +196,7 @@
       let best: Candidate | undefined;
       let usable = 0;
       let minWaitMs: number | undefined;
-      let isMemoryShort = false;
+      let isRoomShort = false;
       const estimate = pauses?.recordRequest(now, query, entries.values(), findLoad);
       for (const entry of entries.values()) {
         const { server } = entry;
@@ -206,8 +207,8 @@
             const waitMs = getExpectedWaitMs(load, query.lateRank);
             minWaitMs = Math.min(minWaitMs ?? waitMs, waitMs);
           }
-          const hasRoom = hasMemory(query, load);
-          isMemoryShort ||= !hasRoom;
+          const hasRoom = hasMemory(query, load) && hasFreeConnection(entry);
+          isRoomShort ||= !hasRoom;
           const candidate =
             (hasRoom || undefined) &&
             createCandidate(now, entry, query, load, dataCentre, estimate);
@@ -215,8 +216,8 @@
         }
       }
       if (!best && usable === 0) return describeShortage(now, query);
-      // Agents do not queue what does not fit: the request waits here until memory is free.
-      if (!best && isMemoryShort) return { kind: 'full' };
+      // Agents do not queue what does not fit: the request waits here for memory or a connection.
+      if (!best && isRoomShort) return { kind: 'full' };
       if (!best) return { kind: 'full', waitMs: minWaitMs };
       return { kind: 'server', ...best };
     },
