Requests were refused since their key had gone to another account

Cause: the check before a request is sent compared the names of the accounts and took any difference for a revoked key.

Now the key must be valid by the newest configuration, and the account that has it is named to the server, ranks the request and pays. Only the sum over the window binds there, since the buckets of a new account begin empty and would refuse what was admitted. The former account gets its units back unless the request may have run under its name. The account and limits of requests are a module of their own.

--- a/packages/gateway/src/access.ts
+++ b/packages/gateway/src/access.ts
@@ -34,20 +34,21 @@
 }
 
 /**
- * Checks a request again before it is sent: its key may have been revoked while it waited, or its
- * route may need a key since. A route that was removed since needs one if it did so before.
+ * Checks a request again before it is sent, by the newest configuration: its key may have been
+ * revoked while it waited or given to another account, or its route may need a key since. A route
+ * that was removed since needs one if it did so before. Returns the account that it has now.
  */
 export function checkAccessAgain(
   view: ConfigurationView,
-  { route, account, incoming }: RequestState,
+  { route, account, incoming, version }: RequestState,
   areKeysFresh: KeyFreshnessCheck,
-): Failure | undefined {
+): Failure | Access {
+  if (view.configuration.version === version) {
+    return account && !areKeysFresh() ? STALE_KEYS : { route, account };
+  }
   const { host, target, metadata } = incoming;
   const currentRoute = view.routes.find(host, target) ?? route;
-  const access = checkKey(view, currentRoute, metadata.apiKey, areKeysFresh);
-  if ('kind' in access) return access;
-  const isSameAccount = !account || !access.account || access.account.name === account.name;
-  return isSameAccount ? undefined : { kind: ErrorKind.Unauthenticated };
+  return checkKey(view, currentRoute, metadata.apiKey, areKeysFresh);
 }
 
 function checkKey(
--- a/packages/gateway/src/request-state.ts
+++ b/packages/gateway/src/request-state.ts
@@ -69,7 +69,7 @@
   ranking: Ranking;
   /** The caller seems to retry after a refusal: its answer is late in any case. */
   isCallerRetry: boolean;
-  /** Version of the configuration by which the request was admitted. */
+  /** Version of the configuration by which the request was admitted, or its access checked last. */
   version: number;
   work: PlacedWork;
   /** Shared parts of its prompt, by which it may be blocked. */
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -14,9 +14,9 @@
 import type { ServerPool } from '@masticbend/scheduling/server-pool';
 import type { ServerEntry } from '@masticbend/scheduling/server-entry';
 import type { ServiceDemand } from '@masticbend/scheduling/service-demand';
-import { countUnits, type SharedLimits } from '@masticbend/scheduling/shared-limit';
+import type { SharedLimits } from '@masticbend/scheduling/shared-limit';
 import type { RequestQueue } from '@masticbend/scheduling/request-queue';
-import { checkAccess, checkAccessAgain, type KeyFreshnessCheck } from './access.js';
+import { checkAccess, type KeyFreshnessCheck } from './access.js';
 import { createAttemptResultHandler } from './attempt-results.js';
 import type { BackendClient } from './backend-client.js';
 import type { RequestEnds } from './caller-connection.js';
@@ -30,6 +30,7 @@
 import { createPlacement, type Placement, type PlacementOptions } from './placement.js';
 import { isRepeatAllowed } from './repeat.js';
 import type { RankRequest } from './ranking.js';
+import { createRequestAccess } from './request-access.js';
 import { createRequestLog } from './request-log.js';
 import {
   createRequestState,
@@ -121,7 +122,7 @@
 
 /** Returns the request handling of an entry without open requests. */
 export function createRequests(options: RequestsOptions): Requests {
-  const { clock, drawRandom, serverPool, requestQueue, limits, repeatBudget, permits } = options;
+  const { clock, drawRandom, serverPool, requestQueue, repeatBudget, permits } = options;
   const { crashWatch } = options;
   const openRequests = new Map<string, RequestState>();
   let nextNumber = 1;
@@ -132,6 +133,7 @@
   const retryAdvisor = createRetryAdvisor(drawRandom);
   const callerRetryDetector = createRetryDetector();
   const requestLog = createRequestLog(clock, options.log);
+  const access = createRequestAccess({ ...options, drawRetryMs });
   const placement = createPlacement({
     ...options,
     findOpenRequest: (id) => openRequests.get(id),
@@ -202,26 +204,26 @@
       refuseUnsent: () => state && refuseUnsent(state),
       wasSent: () => (state?.sentCount ?? 0) > 0,
     });
-    const access = isStopped ? STOPPED : checkAccess(view, incoming, options.areKeysFresh);
-    if ('kind' in access) {
-      const failure = scheduleReturn(incoming, access);
+    const admission = isStopped ? STOPPED : checkAccess(view, incoming, options.areKeysFresh);
+    if ('kind' in admission) {
+      const failure = scheduleReturn(incoming, admission);
       requestLog.writeDenied(incoming, failure);
       delivery.fail(failure);
       return;
     }
     const id = `${formatBoundedId(incoming.metadata.requestId || 'none')}.${nextNumber}`;
     nextNumber += 1;
-    const { deadlineMs = access.route.timeoutMs } = incoming.metadata;
-    const isCallerRetry = callerRetryDetector.recordArrival(access.route.name, deadlineMs);
+    const { deadlineMs = admission.route.timeoutMs } = incoming.metadata;
+    const isCallerRetry = callerRetryDetector.recordArrival(admission.route.name, deadlineMs);
     state = createRequestState(
       id,
       incoming,
       delivery,
-      access,
+      admission,
       view!,
       drawRandom,
       isCallerRetry,
-      options.rankRequest(access, isCallerRetry),
+      options.rankRequest(admission, isCallerRetry),
     );
     startDeadlineTimer(state);
     openRequests.set(state.id, state);
@@ -231,7 +233,7 @@
       return;
     }
     if (guard.refuseBlocked(state)) return;
-    const limitFailure = checkLimit(state);
+    const limitFailure = access.takeUnits(state);
     if (limitFailure) {
       refuse(state, limitFailure);
       return;
@@ -275,19 +277,6 @@
     state.stopDeadlineTimer = clock.startTimer(remainingMs, () => handleDeadline(state));
   }
 
-  function checkLimit(state: RequestState): Failure | undefined {
-    const { account, incoming } = state;
-    if (!account?.limit) return undefined;
-    const { promptTokens, outputTokens } = incoming.metadata;
-    const units = countUnits(account.limit, promptTokens, outputTokens);
-    const waitMs = limits.tryTake(clock.now(), account.name, account.limit, units);
-    if (waitMs === undefined) {
-      state.units = units;
-      return undefined;
-    }
-    return { kind: ErrorKind.RateLimited, retryAfterMs: drawRetryMs(state, waitMs) };
-  }
-
   /** Returns whether a request must not be sent, since the process would stop before its answer. */
   function isTooLate({ sentCount }: RequestState, finishMs: number): boolean {
     return isStopped || (sentCount === 0 && clock.now() + finishMs > stopAt);
@@ -295,9 +284,7 @@
 
   function sendToServer(state: RequestState, entry: ServerEntry, finishMs: number): void {
     retryAdvisor.recordSent();
-    const refusal = isTooLate(state, finishMs)
-      ? STOPPED
-      : checkAccessAgain(options.getView()!, state, options.areKeysFresh);
+    const refusal = isTooLate(state, finishMs) ? STOPPED : access.renew(state);
     if (refusal) {
       permits.release(entry.server.id, state.id);
       finishPlacing(state, refusal);
@@ -371,16 +358,11 @@
         ? findClosedAgents(state, serverPool.listServers(), earlyRefusals.findClosedRank)
         : undefined;
     requestLog.writeRefused(state, failure, requestQueue.count(state.service), closed);
-    returnUnits(state);
+    access.returnUnits(state);
     state.delivery.fail(failure);
     finish(state, failure.kind, false);
   }
 
-  /** Refunds the units of a request that did not run: it does not count against the limit. */
-  function returnUnits({ account, units }: RequestState): void {
-    if (account && units > 0) limits.refund(clock.now(), account.name, units);
-  }
-
   function fail(state: RequestState, failure: Failure): void {
     requestLog.writeFailed(state, failure);
     state.delivery.fail(failure);
@@ -405,7 +387,7 @@
     if (!openRequests.has(state.id)) return;
     const wasSent = state.sentCount > 0;
     stopAttempts(state);
-    if (!wasSent) returnUnits(state);
+    if (!wasSent) access.returnUnits(state);
     requestLog.writeAbandoned(state);
     state.delivery.fail({ kind: wasSent ? ErrorKind.OutcomeUnknown : ErrorKind.CallerEnded });
     finish(state, 'abandoned', false);
--- a/packages/scheduling/src/shared-limit.ts
+++ b/packages/scheduling/src/shared-limit.ts
@@ -36,6 +36,11 @@
   setLimits: (now: number, limits: ReadonlyMap<string, AccountLimit>) => void;
   /** Takes units; if there are too few, returns the milliseconds until there may be enough. */
   tryTake: (now: number, account: string, limit: AccountLimit, units: number) => number | undefined;
+  /**
+   * Takes units for a request that was admitted under another account: only the sum over the window
+   * binds, and what the buckets lack is made up for by later requests.
+   */
+  tryTakeAdmitted: SharedLimits['tryTake'];
   /** Refunds the units of a request that did not run. */
   refund: (now: number, account: string, units: number) => void;
   /** Records what a peer has used since its last report. */
@@ -144,31 +149,45 @@
     return used.findTimeUntil(now, Math.max(0, computeWindowUnits(limit) * share - units));
   }
 
+  /** Takes units unless `computeWaitMs` returns that there are too few. */
+  function tryTakeUnits(
+    now: number,
+    name: string,
+    limit: AccountLimit,
+    units: number,
+    computeWaitMs: (account: Account) => number,
+  ): number | undefined {
+    const account = accounts.get(name) ?? setLimit(now, name, limit);
+    account.asked.add(now, units);
+    addUsage(name, 0, units);
+    if (account.limit === limit) refreshLevels(now, account);
+    else setLimit(now, name, limit);
+    if (computeFillRate(limit) <= 0) return MAX_RETRY_AFTER_MS;
+    const waitMs = computeWaitMs(account);
+    if (waitMs > 0) return Math.min(MAX_RETRY_AFTER_MS, waitMs);
+    account.level -= units;
+    const takenMs = computeOwnFillMs(now, account, units);
+    account.ownFilledMs = Math.max(0, account.ownFilledMs - takenMs);
+    account.used.add(now, units);
+    addUsage(name, units, 0);
+    return undefined;
+  }
+
   return {
     setLimits(now, next) {
       for (const [name, limit] of next) setLimit(now, name, limit);
       for (const name of accounts.keys()) if (!next.has(name)) accounts.delete(name);
     },
-    tryTake(now, name, limit, units) {
-      const account = accounts.get(name) ?? setLimit(now, name, limit);
-      account.asked.add(now, units);
-      addUsage(name, 0, units);
-      if (account.limit === limit) refreshLevels(now, account);
-      else setLimit(now, name, limit);
-      if (computeFillRate(limit) <= 0) return MAX_RETRY_AFTER_MS;
-      const waitMs = Math.max(
-        computeBucketWaitMs(account, units),
-        computeOwnWaitMs(now, account, units),
-        computeWindowWaitMs(now, account, units),
-      );
-      if (waitMs > 0) return Math.min(MAX_RETRY_AFTER_MS, waitMs);
-      account.level -= units;
-      const takenMs = computeOwnFillMs(now, account, units);
-      account.ownFilledMs = Math.max(0, account.ownFilledMs - takenMs);
-      account.used.add(now, units);
-      addUsage(name, units, 0);
-      return undefined;
-    },
+    tryTake: (now, name, limit, units) =>
+      tryTakeUnits(now, name, limit, units, (account) =>
+        Math.max(
+          computeBucketWaitMs(account, units),
+          computeOwnWaitMs(now, account, units),
+          computeWindowWaitMs(now, account, units),
+        ),
+      ),
+    tryTakeAdmitted: (now, name, limit, units) =>
+      tryTakeUnits(now, name, limit, units, (account) => computeWindowWaitMs(now, account, units)),
     refund(now, name, units) {
       const account = accounts.get(name);
       if (!account) return;
--- a/packages/scheduling/test/shared-limit.test.ts
+++ b/packages/scheduling/test/shared-limit.test.ts
@@ -208,6 +208,17 @@
     expect(units / 2).to.be.at.least(loweredPerS * 0.8);
   });
 
+  // A request whose key went to a new account while it waited was refused, as its bucket was empty.
+  it('admit a request that was admitted under another account while the window has room', () => {
+    const limits = createLimits();
+    limits.setShare(0, 1);
+    limits.setLimits(0, new Map([[ACCOUNT, LIMIT]]));
+    expect(limits.tryTake(0, ACCOUNT, LIMIT, 1_000)).to.be.above(0);
+    expect(limits.tryTakeAdmitted(0, ACCOUNT, LIMIT, WINDOW_UNITS)).to.equal(undefined);
+    expect(limits.tryTakeAdmitted(0, ACCOUNT, LIMIT, 1)).to.be.above(0);
+    expect(limits.tryTake(WINDOW_MS / 2, ACCOUNT, LIMIT, 1)).to.be.above(0);
+  });
+
   it('start empty and return the time until a retry can succeed', () => {
     const limits = createLimits();
     limits.setShare(0, 1);
