An entry ended by itself when a caller left within a request

Cause: such an end is reported as an error of the parser and as the end of the connection, and both ended the request that was read and not accepted yet; the second answer threw. The evidence is the stack in the test: handleEnd, abortUnaccepted, fail.

The end of a connection is now handled once. A request that has its refusal is not answered again where its caller leaves before it is accepted, which is the same by another order; that one was found by reading and has no test.

Before: the new test failed in its first rounds with ERR_HTTP_HEADERS_SENT.

--- a/packages/gateway/src/caller-connection.ts
+++ b/packages/gateway/src/caller-connection.ts
@@ -147,6 +147,7 @@
   let rejection: number | undefined;
   let isRejected = false;
   let isClosing = false;
+  let hasEnded = false;
   let hasCallerLeft = false;
   let isStopping = false;
   const input = createMeteredInput(socket, { mayParse: isParsingAllowed, isWithinBody });
@@ -229,8 +230,13 @@
     response.end();
   }
 
-  /** An end of the sending side cannot be told from the close of the connection. */
+  /**
+   * An end of the sending side cannot be told from the close of the connection. Within a request it
+   * is reported twice: as an error of the parser, and as the end of the connection.
+   */
   function handleEnd(): void {
+    if (hasEnded) return;
+    hasEnded = true;
     // The caller's end may also be its reply to that of the entry.
     hasCallerLeft ||= !isClosing;
     droppedBytes += input.drop();
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -155,6 +155,8 @@
   }
 
   function abortUnaccepted({ request, response, waitedMs }: OpenRequest): void {
+    // It may have been refused before, because the entry holds too many bytes.
+    if (response.headersSent) return;
     log.info(LogEvent.RequestAbandoned, {
       request: readRequestId(request),
       sent: 0,
--- a/packages/gateway/test/half-closing-callers.test.ts
+++ b/packages/gateway/test/half-closing-callers.test.ts
@@ -2,6 +2,7 @@
  * Callers that end their sending side after a whole request. That looks like the close of the
  * connection, so the request ends; a caller that still reads learns what became of it.
  */
+import { once } from 'node:events';
 import { expect } from 'chai';
 import {
   formatAnswer,
@@ -13,6 +14,9 @@
 import { startDeployment, waitUntil, type Deployment } from './harness.js';
 import { dialEntry, formatRequest, listStatuses, type RawCaller } from './raw-caller.js';
 
+/** Ends of a connection, as their moment within the reads of the entry varies. */
+const ROUNDS = 10;
+
 describe('callers that end their sending side', () => {
   let deployment: Deployment;
 
@@ -54,6 +58,22 @@
     holder.socket.destroy();
   });
 
+  // The end was handled as an error of the parser and as the end of the connection: a request that
+  // was not accepted yet got two answers, which ended the process (review/6).
+  it('within a request behind one that was not accepted yet leave the entry alive', async () => {
+    await start(({ socket }) => socket.write(formatAnswer(200, 'done')));
+    const unfinished = formatRequest({ id: 'a3' }).slice(0, 60);
+    for (const whole of [1, 2]) {
+      for (let round = 0; round < ROUNDS; round += 1) {
+        const caller = dialEntry(deployment.settings.callerAddress);
+        await once(caller.socket, 'connect');
+        caller.socket.end(formatRequest().repeat(whole) + unfinished);
+        await waitUntil(() => caller.end !== undefined);
+      }
+    }
+    expect((await deployment.call('/once/a')).status).to.equal(200);
+  });
+
   // Requests behind the first one were closed without an answer as well.
   it('get an answer to each of their requests', async () => {
     const caller = await start(({ socket }, index) => {
