--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -49,7 +49,7 @@
   refresh: () => void;
   /** Other entries whose lease has not expired. */
   listOthers: () => Member[];
-  /** Returns whether all entries of before this one's start are known. */
+  /** Returns whether the table was read after the own row was written. */
   areOthersKnown: () => boolean;
   /** Returns whether this entry's own lease is valid and the other entries are known. */
   isLeaseHeld: () => boolean;
