An added entry used a share of the limits before the others gave it up

A client account got 3.07 million tokens in 8 s, 2.93 allowed, when an entry was added that the others could not reach (review/added-entry.mjs on the code before). Cause: the entry took its share as soon as it had read the others' rows, and these read its row up to nine seconds later.

An entry has a share once it is connected to all others or its row is old enough that each with a valid lease has read it. Rows bear the store's time of the last renewal, so that a restarted process whose own row is recent keeps its share. Callers lose: 429 for accounts with a limit for up to 10.5 s, at an added entry that cannot reach one of the others.

--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -6,7 +6,7 @@
  */
 import { startPause, type Clock } from '@masticbend/kernel/clock';
 import { LogEvent, type Logger } from '@masticbend/kernel/log';
-import { parseJson, readFields, readText } from '@masticbend/platform/decode';
+import { parseJson, readFields, readNumber, readText } from '@masticbend/platform/decode';
 import { checkMessage } from '@masticbend/protocol/shape';
 import type { SuspectEvidence } from '@masticbend/scheduling/suspect-record';
 import { isAddress } from '@masticbend/settings/address';
@@ -22,6 +22,8 @@
  * at each renewal. An entry that is connected needs no renewal of its row to remain a member.
  */
 const CONNECTED_READ_INTERVAL_MS = 7_500;
+/** Time after its first renewal from which all others with a valid lease count a new entry. */
+const JOIN_MS = CONNECTED_READ_INTERVAL_MS + RENEWAL_INTERVAL_MS;
 /** Delay of the renewal after a restoration of the store: a random part of this time. */
 const REWRITE_SPREAD_MS = 500;
 /** Delay after a failed renewal or read. */
@@ -51,6 +53,11 @@
   listOthers: () => Member[];
   /** Returns whether the table was read after the own row was written. */
   areOthersKnown: () => boolean;
+  /**
+   * Returns whether the other entries count this one by its row: they have had the time to read it,
+   * or an earlier process of this instance was a member until a moment ago.
+   */
+  isCountedByRow: () => boolean;
   /** Returns whether this entry's own lease is valid and the other entries are known. */
   isLeaseHeld: () => boolean;
 }
@@ -85,6 +92,10 @@
   const { listBlocked, onBlocked } = options;
   const knownMembers = new Map<string, KnownMember>();
   let renewedAt: number | undefined;
+  /** Time of the first renewal; -Infinity where an earlier process was a member. */
+  let joinedAt: number | undefined;
+  /** Latest time of the store that is known; it is written into the row. */
+  let storeTimeMs = 0;
   let readAt = -Infinity;
   /**
    * Set once the table was read after the own row was written: all other members are then known.
@@ -100,12 +111,15 @@
     const row = {
       address: self.address,
       incarnation,
+      storeTimeMs,
       blocked: listBlocked(),
     };
     const value = Buffer.from(JSON.stringify(row));
     const result = await store.writeRow(MEMBERS_TABLE, self.instance, value);
     if (result.kind !== 'committed') return false;
     renewedAt = sentAt;
+    joinedAt ??= sentAt;
+    storeTimeMs = Math.max(storeTimeMs, result.storeTimeMs);
     return true;
   }
 
@@ -114,6 +128,11 @@
     const result = await store.readRows(MEMBERS_TABLE);
     if (result.kind !== 'rows') return false;
     for (const { value } of result.rows.rows) onBlocked(readBlocked(value));
+    storeTimeMs = result.rows.storeTimeMs;
+    const own = result.rows.rows.find(({ key }) => key === self.instance);
+    // Rows that a peer has read come without the store's time.
+    const ageMs = own && storeTimeMs > 0 ? storeTimeMs - readStoreTimeMs(own.value) : Infinity;
+    if (ageMs >= 0 && ageMs < PEER_LEASE_MS) joinedAt = -Infinity;
     return true;
   }
 
@@ -215,6 +234,7 @@
     listOthers: () =>
       [...knownMembers.values()].map(({ instance, address }) => ({ instance, address })),
     areOthersKnown: () => areOthersKnown,
+    isCountedByRow: () => joinedAt !== undefined && getElapsed() - joinedAt >= JOIN_MS,
     isLeaseHeld: () =>
       areOthersKnown && renewedAt !== undefined && getElapsed() - renewedAt < OWN_LEASE_MS,
   };
@@ -225,6 +245,11 @@
   return address !== undefined && isAddress(address) ? address : undefined;
 }
 
+/** Returns the store's time in a row, which is earlier than its last renewal; 0 for none. */
+function readStoreTimeMs(value: Buffer): number {
+  return readNumber(readFields(parseJson(value))?.storeTimeMs) ?? 0;
+}
+
 function readBlocked(value: Buffer): SuspectEvidence[] {
   const blocked = readFields(parseJson(value))?.blocked;
   return (Array.isArray(blocked) ? blocked : []).flatMap((each) => {
--- a/packages/gateway/src/peer-services.ts
+++ b/packages/gateway/src/peer-services.ts
@@ -100,16 +100,17 @@
 
   /**
    * Sets this entry's limit share: the fraction of all entries that are live, itself included; 0
-   * while its lease is not held. For repeats it is a member as well while all others are connected,
-   * as these count it without its row.
+   * while its lease is not held, and until all others count it, as they use its share until then.
+   * For repeats it is a member without a lease as well while all others are connected.
    */
   function updateShare(livePeers: number): void {
     const liveEntries = livePeers + 1;
     const knownEntries = Math.max(liveEntries, members.listOthers().length + 1);
-    const isMember =
-      members.isLeaseHeld() || (members.areOthersKnown() && liveEntries === knownEntries);
+    const areAllLive = liveEntries === knownEntries;
+    const isMember = members.isLeaseHeld() || (members.areOthersKnown() && areAllLive);
     kernel.find('repeats').setInstances(clock.now(), isMember ? knownEntries : undefined);
-    const nextShare = members.isLeaseHeld() ? liveEntries / knownEntries : 0;
+    const isCounted = areAllLive || members.isCountedByRow();
+    const nextShare = members.isLeaseHeld() && isCounted ? liveEntries / knownEntries : 0;
     if (nextShare === share) return;
     share = nextShare;
     limits.setShare(clock.now(), share);
--- a/packages/gateway/test/sharing.test.ts
+++ b/packages/gateway/test/sharing.test.ts
@@ -18,6 +18,8 @@
 const NEW_ENTRY_TIMEOUT_MS = 2_000;
 /** Interval of the renewals and the spread of the rewrite, with a margin. */
 const RENEWAL_TIMEOUT_MS = 3_500;
+/** Time within which all others have read the row of a new entry, with a margin. */
+const JOIN_TIMEOUT_MS = 12_000;
 
 interface Entry {
   members: Members;
@@ -166,6 +168,23 @@
     expect(entries.every(({ members }) => members.listOthers().length === 2)).to.equal(true);
   });
 
+  // An added entry without a connection to the others used a share that they still used themselves
+  // (review/added-entry.mjs).
+  it('are counted by their row once the others have read it, or had it until a moment ago', async () => {
+    const [, , third] = entries as [Entry, Entry, Entry];
+    const added = await startEntry(9);
+    entries.push(added);
+    await waitUntil(() => added.members.isLeaseHeld());
+    expect(added.members.isCountedByRow()).to.equal(false);
+    third.stop();
+    const restarted = await startEntry(3);
+    entries[2] = restarted;
+    await waitUntil(() => restarted.members.isLeaseHeld());
+    expect(restarted.members.isCountedByRow()).to.equal(true);
+    await waitUntil(() => added.members.isCountedByRow(), JOIN_TIMEOUT_MS);
+    expect(entries[0]!.members.listOthers()).to.have.length(3);
+  });
+
   it('hold their lease only after their row is written and the others are known', async () => {
     expect(entries.every(({ members }) => members.isLeaseHeld())).to.equal(true);
     standIn.faults.status = 503;
