Answers without a length were complete when their server had crashed

Cause: the connection of a killed process ends regularly, which is the end of an answer without a length.

The results of attempts are a module of their own.

--- a/packages/gateway/src/attempt-results.ts
+++ b/packages/gateway/src/attempt-results.ts
@@ -7,7 +7,7 @@
 import { isMisdirected } from '@masticbend/platform/ingress';
 import { ErrorKind, type Failure } from '@masticbend/protocol/error';
 import type { ServerPool } from '@masticbend/scheduling/server-pool';
-import type { AttemptResult } from './attempt.js';
+import type { AttemptResult } from './attempt-result.js';
 import type { CrashGuard } from './crash-guard.js';
 import type { Placement } from './placement.js';
 import { isFinalAnswer } from './repeat.js';
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -22,6 +22,7 @@
   type Exchange,
   type ExchangeRequest,
 } from './backend-client.js';
+import type { AttemptResult, StreamTrace } from './attempt-result.js';
 import type { Delivery } from './delivery.js';
 import { createEventSplitter } from './event-splitter.js';
 
@@ -38,45 +39,6 @@
   headers: HeaderMap;
 }
 
-/** How an event stream was framed, and how far it was relayed. */
-export interface StreamTrace {
-  framing: Framing;
-  /** Complete events. */
-  events: number;
-  lastEventId?: string;
-  /** Bytes received after the last complete event. */
-  tailBytes: number;
-  /**
-   * Longest time between two reads that completed events, in milliseconds, without those in which
-   * the caller did not read.
-   */
-  maxPauseMs: number;
-}
-
-/** Result of an attempt. */
-export type AttemptResult =
-  /** The complete answer was delivered. */
-  | { kind: 'delivered'; status: number; stream?: StreamTrace }
-  /** A complete answer, not delivered yet; where it is a failure, the request may be repeated. */
-  | { kind: 'answer'; status: number; headers: HeaderMap; body: Buffer }
-  /** The request was not written to any connection. */
-  | { kind: 'unsent'; reason: string }
-  /** No connection can carry the request, whichever server it is for. */
-  | { kind: 'unsendable'; reason: string }
-  /** The server reports that it did not run the request. */
-  | { kind: 'not-run'; status: number }
-  /**
-   * The request may have run; `lastEventId` is the last event that was delivered. The connection is
-   * lost where the server, and not this entry, ended it.
-   */
-  | {
-      kind: 'broken';
-      reason: string;
-      isConnectionLost: boolean;
-      lastEventId?: string;
-      stream?: StreamTrace;
-    };
-
 /** The request as one attempt needs it. */
 export interface AttemptRequest {
   requestId: string;
@@ -106,6 +68,11 @@
    * whether the stream is over.
    */
   onEmptyEnd: (onResult: (isOver: boolean) => void) => void;
+  /**
+   * An answer without a length has ended with its connection, after a part of its body; calls
+   * `onResult` with whether it is complete.
+   */
+  onOpenEnd: (onResult: (isComplete: boolean) => void) => void;
   /**
    * Mean time per event since the previous complete events; `isHeldBack` tells that the caller did
    * not read meanwhile.
@@ -304,16 +271,32 @@
       failAttempt('answer ended before its headers', true);
       return;
     }
-    if (isEventStream()) {
-      finishStream(head);
-    } else if (isRelaying) {
+    const { status, headers } = head;
+    if (isEventStream()) finishStream(head);
+    else if (hasBody(request.method, status) && readFraming(headers) === Framing.Connection) {
+      checkOpenEnd(() => finishPlain({ status, headers }));
+    } else finishPlain(head);
+  }
+
+  function finishPlain(answer: AnswerHead): void {
+    if (isRelaying) {
       delivery.end();
-      finish({ kind: 'delivered', status: head.status });
+      finish({ kind: 'delivered', status: answer.status });
     } else {
-      finish({ kind: 'answer', ...head, body: Buffer.concat(bufferedChunks) });
+      finish({ kind: 'answer', ...answer, body: Buffer.concat(bufferedChunks) });
     }
   }
 
+  /** Calls `onComplete` if the server is still there that has ended the answer's connection. */
+  function checkOpenEnd(onComplete: () => void): void {
+    stopInactivityTimer();
+    events.onOpenEnd((isComplete) => {
+      if (hasEnded) return;
+      if (isComplete) onComplete();
+      else failAttempt('ended with its server', true);
+    });
+  }
+
   /**
    * Ends a stream whose answer has ended. The end of the answer alone does not show that the stream
    * is complete: a server that breaks off may end its answer regularly.
@@ -323,7 +306,11 @@
       failAttempt('ended within an event', true);
       return;
     }
-    if (eventCount === 0 && readFraming(headers) === Framing.Connection) {
+    if (readFraming(headers) !== Framing.Connection) {
+      closeStream({ status, headers });
+      return;
+    }
+    if (eventCount === 0) {
       stopInactivityTimer();
       events.onEmptyEnd((isOver) => {
         if (hasEnded) return;
@@ -332,7 +319,7 @@
       });
       return;
     }
-    closeStream({ status, headers });
+    checkOpenEnd(() => closeStream({ status, headers }));
   }
 
   function closeStream({ status, headers }: AnswerHead): void {
@@ -385,3 +372,8 @@
     wasSent: () => sentAt !== undefined,
   };
 }
+
+/** Returns whether an answer can have a body (RFC 9112, section 6.3). */
+function hasBody(method: string, status: number): boolean {
+  return method !== 'HEAD' && status !== 204 && status !== 304;
+}
--- a/packages/gateway/src/backend-client.ts
+++ b/packages/gateway/src/backend-client.ts
@@ -49,6 +49,8 @@
 /** Client of all backend servers. */
 export interface BackendClient {
   send: (server: BackendServer, request: ExchangeRequest, events: ExchangeEvents) => Exchange;
+  /** Returns the number of open connections to a server, idle ones included. */
+  countConnections: (server: BackendServer) => number;
   /** Closes the connection pools of all other servers once their exchanges have ended. */
   retainServers: (servers: readonly BackendServer[]) => void;
   close: () => Promise<void>;
@@ -96,6 +98,7 @@
 
   return {
     send: (server, request, events) => startExchange(findPool(server), request, events),
+    countConnections: (server) => pools.get(formatKey(server))?.stats.connected ?? 0,
     retainServers(servers) {
       const listedKeys = new Set(servers.map(formatKey));
       for (const [key, pool] of pools) {
--- a/packages/gateway/src/crash-watch.ts
+++ b/packages/gateway/src/crash-watch.ts
@@ -13,6 +13,7 @@
 import type { BackendServer } from '@masticbend/settings/routing';
 import { createCrashOutbox, readMessage } from './crash-outbox.js';
 import { createEmptyEndCheck, type CheckEmptyEnd } from './empty-ends.js';
+import { createOpenEndCheck, type CheckOpenEnd } from './open-ends.js';
 import { createServerLosses, formatCrash, type Loss, type Registration } from './server-losses.js';
 import { createSoundAnswers, isSound } from './sound-answers.js';
 import { createTrialInquiries } from './trial-inquiries.js';
@@ -82,6 +83,7 @@
    */
   recordAnswer: (request: SentRequest, isFramed: boolean) => void;
   checkEmptyEnd: CheckEmptyEnd;
+  checkOpenEnd: CheckOpenEnd;
   /** The connection on which a request was sent has broken. */
   recordLoss: (request: SentRequest) => void;
   /**
@@ -109,6 +111,8 @@
   drawRandom: () => number;
   /** Calls `onResult` with whether the server refuses connections. */
   probe: (server: BackendServer, onResult: (isRefused: boolean) => void) => void;
+  /** Returns the number of open connections to the server. */
+  countConnections: (server: BackendServer) => number;
   /** A server that leaves is expected to end. */
   getRegistration: (server: BackendServer) => Registration;
   listLive: () => string[];
@@ -268,6 +272,7 @@
     },
     recordOutput: soundAnswers.start,
     checkEmptyEnd: createEmptyEndCheck({ ...options, isCrashed, startTimer }),
+    checkOpenEnd: createOpenEndCheck({ ...options, isCrashed, startTimer }),
     recordAnswer(request, isFramed) {
       if (isFramed) evidence.addAnswer(clock.now(), request.parts);
       if (!evidence.hasSuspectedRequests(clock.now())) return;
--- a/packages/gateway/src/dispatch.ts
+++ b/packages/gateway/src/dispatch.ts
@@ -9,7 +9,8 @@
 import { countHeld, type ServerEntry } from '@masticbend/scheduling/server-entry';
 import type { BackendServer, ServerNotice } from '@masticbend/settings/routing';
 import { Framing, readFraming } from './answer-framing.js';
-import { startAttempt, type AttemptResult } from './attempt.js';
+import { startAttempt } from './attempt.js';
+import type { AttemptResult } from './attempt-result.js';
 import type { BackendClient } from './backend-client.js';
 import { describeSuspected } from './crash-guard.js';
 import type { CrashWatch, SentRequest } from './crash-watch.js';
@@ -28,7 +29,7 @@
   permits: Pick<PermitClient, 'findLoad' | 'reportFirstOutput' | 'release' | 'addRunning'>;
   crashWatch: Pick<
     CrashWatch,
-    'recordOutput' | 'checkEmptyEnd' | 'recordAnswer' | 'recordLoss' | 'cancel'
+    'recordOutput' | 'checkEmptyEnd' | 'checkOpenEnd' | 'recordAnswer' | 'recordLoss' | 'cancel'
   >;
   /** Undefined where the deployment has no rollouts. */
   rollouts?: Pick<RequestRollouts, 'startAttempt' | 'recordSent' | 'recordResult' | 'recordSilent'>;
@@ -133,6 +134,7 @@
           const lastEventId = state.lastEventId ?? incoming.metadata.lastEventId;
           crashWatch.checkEmptyEnd(server, lastEventId, onResult);
         },
+        onOpenEnd: (onResult) => crashWatch.checkOpenEnd(server, onResult),
         onEventInterval(intervalMs, isHeldBack) {
           serverPool.recordEventInterval(entry, intervalMs);
           if (!isHeldBack) entry.eventTimes?.recordInterval(clock.now(), intervalMs);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -220,6 +220,7 @@
     drawRandom: Math.random,
     probe: ({ address }, onResult) =>
       probeSocket(clock, { ...parseAddress(address), timeoutMs: PROBE_TIMEOUT_MS }, onResult),
+    countConnections: (server) => kernel.find('client').countConnections(server),
     listMembers: () =>
       kernel
         .find('members')
--- a/packages/gateway/src/request-log.ts
+++ b/packages/gateway/src/request-log.ts
@@ -4,7 +4,7 @@
 import type { Failure } from '@masticbend/protocol/error';
 import type { EventTimes } from '@masticbend/scheduling/event-times';
 import { countHeld, estimateFirstMs, type ServerEntry } from '@masticbend/scheduling/server-entry';
-import type { AttemptResult, StreamTrace } from './attempt.js';
+import type { AttemptResult, StreamTrace } from './attempt-result.js';
 import type { ClosedAgents } from './closed-ranks.js';
 import { getDigest, type IncomingRequest, type RequestState } from './request-state.js';
 
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -66,7 +66,10 @@
     'findLoad' | 'requestPermit' | 'reportFirstOutput' | 'release' | 'addRunning'
   >;
   crashWatch: CrashGuardOptions['crashWatch'] &
-    Pick<CrashWatch, 'recordOutput' | 'checkEmptyEnd' | 'recordAnswer' | 'recordLoss' | 'cancel'>;
+    Pick<
+      CrashWatch,
+      'recordOutput' | 'checkEmptyEnd' | 'checkOpenEnd' | 'recordAnswer' | 'recordLoss' | 'cancel'
+    >;
   /** Called with what a backend server says about itself in an answer. */
   onNotice: ServerNotices['handleAnswer'];
   getView: () => ConfigurationView | undefined;
--- a/packages/gateway/src/rollout-gate.ts
+++ b/packages/gateway/src/rollout-gate.ts
@@ -5,7 +5,7 @@
 import type { Clock } from '@masticbend/kernel/clock';
 import { Metric, type Metrics } from '@masticbend/kernel/metrics';
 import { ServerState, type BackendServer } from '@masticbend/settings/routing';
-import type { AttemptResult } from './attempt.js';
+import type { AttemptResult } from './attempt-result.js';
 import type { RequestState } from './request-state.js';
 import { RolloutStage } from './rollout-row.js';
 import type { AttemptEnd, RolloutTracker, TrackedAttempt } from './rollout-tracker.js';
--- a/packages/gateway/test/attempt.test.ts
+++ b/packages/gateway/test/attempt.test.ts
@@ -41,6 +41,7 @@
       onSilent: () => {},
       onResumed: () => {},
       onEmptyEnd: () => {},
+      onOpenEnd: (onResult) => onResult(true),
       onEventInterval(intervalMs, isHeldBack) {
         intervals.push([intervalMs, isHeldBack]);
       },
--- a/packages/gateway/test/crash-watch.test.ts
+++ b/packages/gateway/test/crash-watch.test.ts
@@ -77,6 +77,7 @@
     self: 'entry-0',
     clock,
     log: createLogger({}, 'silent'),
+    countConnections: () => 0,
     drawRandom: () => 0.5,
     probe(_server, onResult) {
       observed.probes += 1;
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -217,7 +217,7 @@
     call,
     async waitUntilServing() {
       await waitUntilServing(settings, store);
-      await waitUntil(() => hasRepeats(gateway));
+      await waitUntil(() => hasShare(gateway, settings));
     },
     async startEntry() {
       const entrySettings = await createSettings(store.address);
@@ -225,7 +225,7 @@
       entries.push(entry);
       await entry.start();
       await waitUntilServing(entrySettings, store);
-      await waitUntil(() => hasRepeats(entry));
+      await waitUntil(() => hasShare(entry, entrySettings));
       return entrySettings.callerAddress;
     },
     waitUntilConnected: (peers) =>
@@ -272,8 +272,9 @@
   };
 }
 
-/** Returns whether an entry has a share of the slack for repeats, since it knows the others. */
-function hasRepeats(entry: Gateway): boolean {
+/** Returns whether an entry has its share of the slack for repeats, since it knows the others. */
+function hasShare(entry: Gateway, { bounds }: GatewaySettings): boolean {
+  if (bounds.repeatSlack === 0) return true;
   return /"repeats":{"slack":[1-9]/.test(JSON.stringify(entry.dump()));
 }
 
