Answers that were paused lost bytes

Callers saw: answers that stopped until their deadline, or broke off, where their caller had read late. An answer that ends with its connection could end regularly behind a body with a hole.

Cause: socket.read of a connection to a server is replaced to parse in small pieces, by a function without a parameter. A stream calls read(0) on itself to read ahead, and ignores the result; each call took up to 16 KiB that nobody received. This happens while an answer is paused.

At the deadline nothing was paused, both queues of the system were empty (/proc/net/tcp), and 16,384 bytes of the body were missing; they left the stream during the pause.

Change: read(0) is passed on as it is.

--- a/packages/gateway/src/answer-input.ts
+++ b/packages/gateway/src/answer-input.ts
@@ -32,7 +32,9 @@
   let framingBytes = 0;
   let hasHead = false;
 
-  socket.read = (): Buffer | null => {
+  socket.read = (size?: number): Buffer | null => {
+    // The stream calls it with 0 to have more read from the system, and ignores the result.
+    if (size === 0) return read(0);
     // A destroyed socket still hands out what it has buffered.
     if (socket.destroyed) return null;
     const maxBytes = hasHead ? MAX_PIECE_BYTES : MAX_HEAD_PIECE_BYTES;
