An answer that ended while it was paused ended the entry

Callers would see: all connections to an entry break at once.

Cause: the HTTP library pauses its parser, and not the connection. Where nothing waits in a paused connection, its end is reported at once, and the parser throws an error of its own (assert(!this.paused)), which ends the process. This needs an answer that ends with its connection, or is cut short after it announced the close.

Change: the end of a connection to a server is reported when its answer goes on. An exchange that has ended no longer pauses or resumes its connection, which may serve another one.

--- a/packages/gateway/src/backend-client.ts
+++ b/packages/gateway/src/backend-client.ts
@@ -67,6 +67,10 @@
 interface ConnectionState {
   /** The answer has no declared length and ends with the connection. */
   endsWithConnection: boolean;
+  /** The answer is paused. */
+  isPaused: boolean;
+  /** Reports the end of the connection, which came while the answer was paused. */
+  reportEnd?: () => void;
   /** Undefined until the connection is open. */
   input?: AnswerInput;
 }
@@ -122,11 +126,13 @@
 
 /** Creates a client with one connection that sets the connection state on each dispatch. */
 function createTrackedClient(origin: URL, options: object): Client {
-  const connectionState: ConnectionState = { endsWithConnection: false };
+  const connectionState: ConnectionState = { endsWithConnection: false, isPaused: false };
   const client = new Client(origin, { ...options, connect: createConnector(connectionState) });
   const dispatch = client.dispatch.bind(client);
   client.dispatch = (dispatched: TrackedDispatchOptions, handler) => {
     connectionState.endsWithConnection = false;
+    connectionState.isPaused = false;
+    connectionState.reportEnd = undefined;
     connectionState.input?.start();
     dispatched.connectionState = connectionState;
     return dispatch(dispatched, handler);
@@ -145,7 +151,7 @@
         socket.prependListener('error', (socketError: NodeJS.ErrnoException) => {
           if (socketError.code === 'ECONNRESET') socketError.code = RESET_CODE;
         });
-        probeAtEnd(socket, connectionState);
+        checkEnds(socket, connectionState);
         connectionState.input = createAnswerInput(socket);
         callback(null, socket);
       }
@@ -156,15 +162,25 @@
  * Node reports a reset that immediately follows data as a regular end of the connection. Therefore
  * an answer that ends with its connection is complete only if a write still succeeds afterwards,
  * which it does only after a regular end.
+ *
+ * The library's parser takes an end while it is paused for an error of its own, and throws it.
  */
-function probeAtEnd(socket: Socket, state: ConnectionState): void {
+function checkEnds(socket: Socket, state: ConnectionState): void {
   const emit = socket.emit.bind(socket) as (event: string, ...values: unknown[]) => boolean;
-  socket.emit = (event: string | symbol, ...values: unknown[]) => {
-    if (event !== 'end' || !state.endsWithConnection) return emit(event as string, ...values);
+
+  function reportEnd(): boolean {
+    if (!state.endsWithConnection) return emit('end');
     socket.write(END_PROBE, (writeError) => {
       if (!writeError) emit('end');
     });
     return true;
+  }
+
+  socket.emit = (event: string | symbol, ...values: unknown[]) => {
+    if (event !== 'end') return emit(event as string, ...values);
+    if (!state.isPaused) return reportEnd();
+    state.reportEnd = reportEnd;
+    return true;
   };
 }
 
@@ -172,6 +188,7 @@
   let controller: Dispatcher.DispatchController | undefined;
   let ended = false;
   let paused = false;
+  const options: TrackedDispatchOptions = { ...request };
   const pieces = createJoinedPieces((bytes) => {
     if (ended) return;
     try {
@@ -189,7 +206,13 @@
     events.onError(error);
   }
 
-  const options: TrackedDispatchOptions = { ...request };
+  /** The state of the connection is that of the exchange, until the exchange has ended. */
+  function setPaused(next: boolean): void {
+    paused = next;
+    const { connectionState } = options;
+    if (connectionState) connectionState.isPaused = next;
+  }
+
   pool.dispatch(options, {
     onRequestStart(started) {
       controller = started;
@@ -213,6 +236,7 @@
     onResponseEnd() {
       pieces.flush();
       if (ended) return;
+      setPaused(false);
       ended = true;
       events.onEnd();
     },
@@ -232,12 +256,15 @@
       controller?.abort(new Error('aborted'));
     },
     pause() {
-      paused = true;
+      if (ended) return;
+      setPaused(true);
       controller?.pause();
     },
     resume() {
-      paused = false;
+      if (ended) return;
+      setPaused(false);
       controller?.resume();
+      options.connectionState?.reportEnd?.();
     },
   };
 }
