Pin the fraction of the repeat budget that a new process earns

The property of the repeat budget passed with a start fraction of 0.5 in place of 0.3 as well: its processes spend all the time, and so never have savings when they are killed. The new test kills all instances at each moment of a window after a calm one. It fails with a start fraction of 0.5 and with a used fraction of 0.9, and passes with 0.4; the product is unchanged.

--- a/packages/scheduling/test/repeat-budget.test.ts
+++ b/packages/scheduling/test/repeat-budget.test.ts
@@ -92,6 +92,27 @@
     fc.assert(property, { numRuns: 150, seed: SEED });
   });
 
+  // The savings of the old processes and what the new ones earned came together in one window.
+  it('keeps the sum within the bound whenever all instances are killed after a calm time', () => {
+    for (let killedAt = STEP_MS; killedAt <= BOUND.windowMs; killedAt += STEP_MS) {
+      let budgets = Array.from({ length: 4 }, () => createOldBudget(BOUND, 4));
+      const repeats: number[] = [];
+      const requests: number[] = [];
+      for (let now = -BOUND.windowMs; now < 2 * BOUND.windowMs; now += STEP_MS) {
+        if (now === killedAt) budgets = budgets.map(() => createRepeatBudget(BOUND, now));
+        let taken = 0;
+        for (const budget of budgets) {
+          budget.setInstances(now, budgets.length);
+          for (let count = 0; count < 4; count += 1) budget.recordRequest(now, SERVICE);
+          if (now >= 0) taken += takeAll(budget, now);
+        }
+        repeats.push(taken);
+        requests.push(4 * budgets.length);
+      }
+      checkWindows(repeats, requests);
+    }
+  });
+
   it('earns repeats from the start on, for callers of a new process', () => {
     const budget = createRepeatBudget(BOUND, 0);
     budget.setInstances(0, 1);
