A paused answer that ended also ended the agent of the product's interface

Callers would see: all calls of an agent break at once.

Cause: the parser of the HTTP library throws an error of its own where a connection ends while it is paused. A stream reports its end also on the reads by which it asks the system for more by itself. Each client of the library that reads with backpressure can meet it: the agent's calls, and the clients of the stores.

Change: kernel/http-pool.ts has the connections for all of them. The reads of a stream itself don't report the end, so that it comes with the next read of the parser.

Result: without the change, "fails an answer without a length that ends while it is paused" of answer-completeness.test.ts ends by assert(!this.paused), as do two cases of paused-answers.test.ts; with it they pass. 15 related test files pass, one run each.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -4,11 +4,12 @@
  */
 import { readFileSync } from 'node:fs';
 import type { Server } from 'node:http';
-import { Pool } from 'undici';
+import type { Pool } from 'undici';
 import { startAdministration } from '@masticbend/kernel/administration';
 import { createSystemClock, type Clock } from '@masticbend/kernel/clock';
 import type { ConnectionBounds } from '@masticbend/kernel/connection-bounds';
 import { readDescriptorLimit } from '@masticbend/kernel/descriptor-limit';
+import { createHttpPool } from '@masticbend/kernel/http-pool';
 import {
   createKernel,
   waitUntilIdle,
@@ -158,7 +159,7 @@
 
 function createBackendService(settings: AgentSettings): Pool & Lifecycle {
   const connections = MAX_CONCURRENCY + SPARE_CONNECTIONS;
-  const pool = new Pool(settings.backendUrl, { connections, pipelining: 1 });
+  const pool = createHttpPool(settings.backendUrl, { connections, pipelining: 1 });
   return Object.assign(pool, { stop: () => pool.destroy() });
 }
 
--- a/packages/agent/test/answer-completeness.test.ts
+++ b/packages/agent/test/answer-completeness.test.ts
@@ -22,6 +22,10 @@
 /** Longer than the time without heartbeats after which a peer is silent. */
 const SILENCE_MS = 5_500;
 const TIMEOUT_MS = 20_000;
+/** Pieces of an answer that arrive one by one, until more wait than the agent reads ahead. */
+const PIECE_BYTES = 8 * 1024;
+const PIECE_INTERVAL_MS = 5;
+const MAX_PIECES = 24;
 
 describe('complete answers from an engine', () => {
   let engine: Engine;
@@ -136,6 +140,7 @@
 }
 
 describe('complete answers from a faulty backend server', () => {
+  const clock = createSystemClock();
   let answer: (response: ServerResponse, path: string) => void;
   let server: Server;
   let table: Table;
@@ -278,4 +283,31 @@
     await entry.waitForMessage('end', 'slow');
     expect(entry.readAnswer('slow').length).to.equal(bytes);
   });
+
+  // The parser got the end of the connection while it was paused, and ended the whole agent.
+  it('fails an answer without a length that ends while it is paused', async () => {
+    const sent: string[] = [];
+    answer = async (response, path) => {
+      const socket = response.socket!;
+      socket.write('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n');
+      socket.write('x'.repeat(STREAM_WINDOW_BYTES));
+      for (let piece = 0; piece < Number(path.slice(1)); piece += 1) {
+        await waitFor(clock, PIECE_INTERVAL_MS);
+        socket.write('x'.repeat(PIECE_BYTES));
+      }
+      await waitFor(clock, PIECE_INTERVAL_MS);
+      socket.end(() => sent.push(path));
+    };
+    entry.behaviour.creditsData = false;
+    for (let pieces = 0; pieces < MAX_PIECES; pieces += 1) {
+      const request = String(pieces);
+      const path = `/${request}`;
+      await startRequest(entry, { request, call: { path } });
+      await waitUntil(() => sent.includes(path), 'the last piece');
+      await waitFor(clock, PIECE_INTERVAL_MS);
+      entry.send({ kind: 'credit', request, bytes: 2 * STREAM_WINDOW_BYTES });
+      const { failure } = await entry.waitForMessage('failed', request);
+      expect(failure.kind, `after ${request} pieces`).to.equal('backend-truncated');
+    }
+  }).timeout(TIMEOUT_MS);
 });
--- a/packages/agent/test/harness.ts
+++ b/packages/agent/test/harness.ts
@@ -4,8 +4,8 @@
  */
 import { once } from 'node:events';
 import { connect, type Socket } from 'node:net';
-import { Pool } from 'undici';
 import { createSystemClock, type Clock } from '@masticbend/kernel/clock';
+import { createHttpPool } from '@masticbend/kernel/http-pool';
 import { createSilentLogger } from '@masticbend/kernel/log';
 import { createIdempotencyRecords } from '@masticbend/state/idempotency';
 import { createTableClient } from '@masticbend/state/table';
@@ -46,7 +46,7 @@
   const { backendUrl, tableUrl, concurrency = 8, streamBytes = 1024 * 1024 } = options;
   const clock = options.clock ?? createSystemClock();
   const log = createSilentLogger();
-  const client = new Pool(backendUrl, { connections: 32, pipelining: 1 });
+  const client = createHttpPool(backendUrl, { connections: 32, pipelining: 1 });
   const table = createTableClient({ url: tableUrl, timeoutMs: 300 });
   const records = createCallRecords({
     records: createIdempotencyRecords(table, clock),
--- a/packages/gateway/src/backend-client.ts
+++ b/packages/gateway/src/backend-client.ts
@@ -3,7 +3,8 @@
  * request is about to be written to a connection: a request that was never written has not run.
  */
 import type { Socket } from 'node:net';
-import { buildConnector, Client, Pool, type Dispatcher } from 'undici';
+import { Client, Pool, type buildConnector, type Dispatcher } from 'undici';
+import { createHttpConnector } from '@masticbend/kernel/http-pool';
 import type { HeaderMap } from '@masticbend/platform/ingress';
 import { MAX_CONNECTIONS_PER_SERVER } from '@masticbend/scheduling/server-entry';
 import type { BackendServer } from '@masticbend/settings/routing';
@@ -67,10 +68,6 @@
 interface ConnectionState {
   /** The answer has no declared length and ends with the connection. */
   endsWithConnection: boolean;
-  /** The answer is paused. */
-  isPaused: boolean;
-  /** Reports the end of the connection, which came while the answer was paused. */
-  reportEnd?: () => void;
   /** Undefined until the connection is open. */
   input?: AnswerInput;
 }
@@ -126,13 +123,11 @@
 
 /** Creates a client with one connection that sets the connection state on each dispatch. */
 function createTrackedClient(origin: URL, options: object): Client {
-  const connectionState: ConnectionState = { endsWithConnection: false, isPaused: false };
+  const connectionState: ConnectionState = { endsWithConnection: false };
   const client = new Client(origin, { ...options, connect: createConnector(connectionState) });
   const dispatch = client.dispatch.bind(client);
   client.dispatch = (dispatched: TrackedDispatchOptions, handler) => {
     connectionState.endsWithConnection = false;
-    connectionState.isPaused = false;
-    connectionState.reportEnd = undefined;
     connectionState.input?.start();
     dispatched.connectionState = connectionState;
     return dispatch(dispatched, handler);
@@ -142,7 +137,7 @@
 
 /** Connects as undici does, and prevents a reset from being treated as the end of an answer. */
 function createConnector(connectionState: ConnectionState): buildConnector.connector {
-  const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS, allowHalfOpen: true });
+  const connect = createHttpConnector({ timeout: CONNECT_TIMEOUT_MS, allowHalfOpen: true });
   return (options, callback) =>
     connect(options, (...[error, socket]) => {
       if (error) {
@@ -151,7 +146,7 @@
         socket.prependListener('error', (socketError: NodeJS.ErrnoException) => {
           if (socketError.code === 'ECONNRESET') socketError.code = RESET_CODE;
         });
-        checkEnds(socket, connectionState);
+        probeAtEnd(socket, connectionState);
         connectionState.input = createAnswerInput(socket);
         callback(null, socket);
       }
@@ -162,25 +157,15 @@
  * Node reports a reset that immediately follows data as a regular end of the connection. Therefore
  * an answer that ends with its connection is complete only if a write still succeeds afterwards,
  * which it does only after a regular end.
- *
- * The library's parser takes an end while it is paused for an error of its own, and throws it.
  */
-function checkEnds(socket: Socket, state: ConnectionState): void {
+function probeAtEnd(socket: Socket, state: ConnectionState): void {
   const emit = socket.emit.bind(socket) as (event: string, ...values: unknown[]) => boolean;
-
-  function reportEnd(): boolean {
-    if (!state.endsWithConnection) return emit('end');
+  socket.emit = (event: string | symbol, ...values: unknown[]) => {
+    if (event !== 'end' || !state.endsWithConnection) return emit(event as string, ...values);
     socket.write(END_PROBE, (writeError) => {
       if (!writeError) emit('end');
     });
     return true;
-  }
-
-  socket.emit = (event: string | symbol, ...values: unknown[]) => {
-    if (event !== 'end') return emit(event as string, ...values);
-    if (!state.isPaused) return reportEnd();
-    state.reportEnd = reportEnd;
-    return true;
   };
 }
 
@@ -188,7 +173,6 @@
   let controller: Dispatcher.DispatchController | undefined;
   let ended = false;
   let paused = false;
-  const options: TrackedDispatchOptions = { ...request };
   const pieces = createJoinedPieces((bytes) => {
     if (ended) return;
     try {
@@ -206,13 +190,7 @@
     events.onError(error);
   }
 
-  /** The state of the connection is that of the exchange, until the exchange has ended. */
-  function setPaused(next: boolean): void {
-    paused = next;
-    const { connectionState } = options;
-    if (connectionState) connectionState.isPaused = next;
-  }
-
+  const options: TrackedDispatchOptions = { ...request };
   pool.dispatch(options, {
     onRequestStart(started) {
       controller = started;
@@ -236,7 +214,6 @@
     onResponseEnd() {
       pieces.flush();
       if (ended) return;
-      setPaused(false);
       ended = true;
       events.onEnd();
     },
@@ -257,14 +234,13 @@
     },
     pause() {
       if (ended) return;
-      setPaused(true);
+      paused = true;
       controller?.pause();
     },
     resume() {
       if (ended) return;
-      setPaused(false);
+      paused = false;
       controller?.resume();
-      options.connectionState?.reportEnd?.();
     },
   };
 }
--- a/packages/state/src/object-store.ts
+++ b/packages/state/src/object-store.ts
@@ -1,5 +1,5 @@
 /** Client of the platform's object store, which stores large immutable texts by key. */
-import { Pool } from 'undici';
+import { createHttpPool } from '@masticbend/kernel/http-pool';
 import { PlatformError } from './table.js';
 
 const MAX_CONNECTIONS = 4;
@@ -21,7 +21,7 @@
 
 /** Returns a client that opens connections on demand. */
 export function createObjectStore({ url, timeoutMs }: ObjectStoreOptions): ObjectStore {
-  const pool = new Pool(url, { connections: MAX_CONNECTIONS, connectTimeout: timeoutMs });
+  const pool = createHttpPool(url, { connections: MAX_CONNECTIONS, connectTimeout: timeoutMs });
 
   async function call(method: 'GET' | 'PUT' | 'DELETE', key: string, body: string | null) {
     try {
--- a/packages/state/src/table.ts
+++ b/packages/state/src/table.ts
@@ -3,7 +3,7 @@
  * requires and commits atomically. The answer can be lost after the commit, so an error carries
  * whether the transaction may have taken effect; the caller finds out by reading.
  */
-import { Pool } from 'undici';
+import { createHttpPool } from '@masticbend/kernel/http-pool';
 
 const MAX_CONNECTIONS = 8;
 
@@ -76,7 +76,7 @@
 
 /** Returns a client that opens connections on demand. */
 export function createTableClient({ url, timeoutMs }: TableClientOptions): TableClient {
-  const pool = new Pool(url, {
+  const pool = createHttpPool(url, {
     connections: MAX_CONNECTIONS,
     connectTimeout: timeoutMs,
     headersTimeout: timeoutMs,
