--- a/packages/agent/test/answer-completeness.test.ts
+++ b/packages/agent/test/answer-completeness.test.ts
@@ -284,6 +284,23 @@
     expect(entry.readAnswer('slow').length).to.equal(bytes);
   });
 
+  // Another operator's clients got a 200 with an empty or short body, framed as whole.
+  it('fails an answer that is cut at any byte', async () => {
+    const whole = 'HTTP/1.1 200 OK\r\nx-note: any\r\ncontent-length: 4\r\n\r\ndone';
+    answer = (response, path) => {
+      const { socket } = response;
+      socket!.write(whole.slice(0, Number(path.slice(1))), () => socket!.destroySoon());
+    };
+    for (let bytes = 1; bytes < whole.length; bytes += 1) {
+      const request = String(bytes);
+      await startRequest(entry, { request, call: { path: `/${request}` } });
+      await entry.waitForMessage('failed', request);
+      expect(entry.select('end', request), `after ${bytes} bytes`).to.have.length(0);
+    }
+    await startRequest(entry, { request: 'whole', call: { path: `/${whole.length}` } });
+    await entry.waitForMessage('end', 'whole');
+  });
+
   // The parser got the end of the connection while it was paused, and ended the whole agent.
   it('fails an answer without a length that ends while it is paused', async () => {
     const sent: string[] = [];
