Soak: an unread request is in progress until its caller leaves

Trace: entry-0 placed r61 at a server that was paused 30 ms later with all others, and was killed with all entries 0.72 to 1.18 s after r61 was sent. A killed entry has no line on what it had open. Callers of this kind ask three times, read nothing and leave up to 1.2 s later; the check took the moment of sending for the end of the request, and so excused it only for a kill within 0.5 s. When this caller left was not recorded, so the run itself does not show that it was still there.

Change: records have the time at which such a caller left. An entry that was out until 0.5 s after that need not have a line, as for all other requests. A line that is missing for a caller that left earlier is still a violation.

--- a/packages/bench/src/soak/call-record.ts
+++ b/packages/bench/src/soak/call-record.ts
@@ -46,6 +46,8 @@
   behaviour?: string;
   /** The caller ended its sending side after the request, which counts as leaving. */
   hasLeft?: boolean;
+  /** When its caller left, which waited for no answer but kept the connection until then. */
+  leftAt?: number;
   /** The head was sent in pieces. */
   isSplitHead?: boolean;
   /** The request before it on the same connection, whose answer had not come. */
--- a/packages/bench/src/soak/closing-lines.ts
+++ b/packages/bench/src/soak/closing-lines.ts
@@ -163,9 +163,10 @@
 }
 
 /** Returns whether the entry was killed, and may have lost its last lines, or frozen. */
-function isOut({ entry, sentAt, endedAt }: CallRecord, { entryOutages }: BothSides['history']) {
+function isOut(record: CallRecord, { entryOutages }: BothSides['history']): boolean {
+  const { entry, sentAt, endedAt, leftAt = endedAt } = record;
   return entryOutages.some(
-    (span) => span.name === entry && isOverlapping(span, sentAt, endedAt + LOG_DELAY_MS),
+    (span) => span.name === entry && isOverlapping(span, sentAt, leftAt + LOG_DELAY_MS),
   );
 }
 
--- a/packages/bench/src/soak/kept-callers.ts
+++ b/packages/bench/src/soak/kept-callers.ts
@@ -181,6 +181,7 @@
   /** Asks for more than it takes, reads nothing and leaves. */
   async function leaveUnread(use: Use): Promise<void> {
     const { connection } = use;
+    const unread: CallRecord[] = [];
     connection.stopReading();
     for (let count = 0; count < UNREAD_REQUESTS; count += 1) {
       const { record, bytes } = openRequest(use, 'unread', CALL_PATHS, LARGE_BODY);
@@ -188,9 +189,12 @@
       connection.write(bytes);
       record.sentAt = performance.now();
       record.endedAt = record.sentAt;
+      unread.push(record);
       await wait(drawMs(UNREAD_RANGE_MS));
     }
     connection.close();
+    const leftAt = performance.now();
+    for (const record of unread) record.leftAt = leftAt;
   }
 
   /** Leaves as soon as a request was sent, which a busy or stopped entry has not read by then. */
--- a/packages/bench/test/closing-lines.test.ts
+++ b/packages/bench/test/closing-lines.test.ts
@@ -152,6 +152,10 @@
       expect(check(UNANSWERED, lines, outage('entry-0', 9_900))).to.have.length(1);
       expect(check(UNANSWERED, lines, outage('entry-1', 10_500))).to.have.length(1);
     }
+    // A request without an answer is in progress until its caller leaves, and not as it is sent.
+    const unread = { ...UNANSWERED, endedAt: 10_000, leftAt: 11_000, hasLeft: true };
+    expect(check(unread, [], outage('entry-0', 11_400))).to.deep.equal([]);
+    expect(check(unread, [], outage('entry-0', 11_600))).to.have.length(1);
     expect(check(SERVED, [], outage('entry-0', 11_400))).to.deep.equal([]);
     expect(check(SERVED, [FAILED], outage('entry-0', 11_400))).to.have.length(1);
   });
